Specification in Promela with a mutant for each guard

Cause: the promises need a proof that does not depend on timing. Found: the first settings model stored the version at the time of the report and not of the write; the code takes it from the write's own answer.

--- /dev/null
+++ b/models/settings.pml
@@ -0,0 +1,70 @@
+/* One team's subtree: two operators write with conditions and lost answers;
+ * a refused repeat finds out by its mark whose write stands there. */
+
+byte version = 1;      /* in the store */
+byte writer = 0;       /* who wrote the version that is there */
+byte accepted[2];      /* version that an operator was told, 0 none */
+byte conflicts = 0;
+byte effects[2];       /* ghost: times that an operator's one change took effect */
+byte stamped[6];       /* ghost: writer of each version */
+
+inline put(me, based, done, landed) {
+  done = false;
+  landed = false;
+  if
+#ifdef MUTANT_UNCONDITIONAL
+  :: true ->
+#else
+  :: version == based ->
+#endif
+     version++;
+     at = version;
+     writer = me;
+     stamped[version] = me + 1;
+     effects[me]++;
+     landed = true;
+     if
+     :: done = true /* the answer comes */
+     :: true /* the answer is lost */
+     fi
+#ifndef MUTANT_UNCONDITIONAL
+  :: version != based -> done = true
+#endif
+  :: true /* the write itself is lost */
+  fi
+}
+
+proctype Operator(byte me) {
+  byte based, tries, at;
+  bool done, landed;
+  atomic { based = version };
+again:
+  atomic { put(me, based, done, landed) };
+  if
+  :: done && landed -> atomic { accepted[me] = at }
+  :: done && !landed ->
+     atomic {
+       /* refused: was it my own earlier try that stands there? */
+       if
+#ifndef MUTANT_NO_MARK
+       :: stamped[based + 1] == me + 1 -> accepted[me] = based + 1
+#endif
+       :: else -> conflicts++
+       fi
+     }
+  :: !done && tries < 1 -> tries++; goto again
+  :: !done && tries >= 1 -> skip /* told: it may have taken effect */
+  fi
+}
+
+init {
+  atomic {
+    run Operator(0);
+    run Operator(1)
+  }
+}
+
+ltl once { [] (effects[0] <= 1 && effects[1] <= 1) }
+ltl honest { [] ((accepted[0] != 0 -> effects[0] == 1) && (accepted[1] != 0 -> effects[1] == 1)) }
+ltl nolost { [] (!(accepted[0] != 0 && accepted[0] == accepted[1])) }
+ltl known { [] (conflicts < 2) }
