Owner choice: an abandoned attempt never makes an owner look faster

A hedge's loser was counted with the time it had taken so far, twice the usual, and so lowered a slowness of ten. Change: giving an attempt up doubles the owner's slowness. Hedges start later (twice the usual time) and only towards an owner with a free slot: at 0.8 of capacity they had added 16 % to the deep service's work.

--- a/include/fulmarshelf/detail/routing/owner_choice.hpp
+++ b/include/fulmarshelf/detail/routing/owner_choice.hpp
@@ -22,6 +22,10 @@
   void onEnded(TimePoint Now, double Slowness);
   /// @brief An attempt ended without telling anything about speed.
   void onEnded();
+  /// @brief An attempt was given up while the owner still held it back.
+  /// @param AtLeast lowest slowness that this shows; how slow it really is
+  /// stays unknown, so each such attempt makes it count as slower
+  void onAbandoned(TimePoint Now, double AtLeast);
   /// @brief The owner told its load along with an answer.
   void onReport(TimePoint Now, const std::string &Route,
                 const LoadReport &Report);
--- a/src/engine/attempt_system.cpp
+++ b/src/engine/attempt_system.cpp
@@ -15,6 +15,7 @@
 // backend server and cost no token, but their number is bounded too.
 constexpr unsigned MaxFreeMoves = 2;
 constexpr Micros LeastHedgeDelay = millis(5);
+constexpr int HedgeFactor = 2;
 constexpr Micros DomainDistance = millis(2);
 constexpr Micros RegionDistance = millis(20);
 constexpr std::uint16_t FirstFailureStatus = 500;
@@ -152,7 +153,8 @@
 }
 
 Micros hedgeDelay(const NodeState &Node, const Request &Target) {
-  return std::max(LeastHedgeDelay, Node.CallTimes_.unusual(Target.Route_));
+  return std::max({LeastHedgeDelay, Node.CallTimes_.unusual(Target.Route_),
+                   HedgeFactor * Node.CallTimes_.expected(Target.Route_)});
 }
 
 void startAttempt(NodeState &Node, RequestId Id, const std::string &Owner,
@@ -303,7 +305,7 @@
   double Slowness = static_cast<double>((Node.Now_ - Ended.Started_).count()) /
                     static_cast<double>(Expected.count());
   if (Slowness > 1)
-    View.onEnded(Node.Now_, Slowness);
+    View.onAbandoned(Node.Now_, Slowness);
   else
     View.onEnded();
 }
@@ -496,6 +498,10 @@
   Choice Options = findOwners(Node, Target);
   if (Options.Refusing_ > 0)
     return;
+  std::erase_if(Options.Accepting_, [](const Candidate &Option) {
+    const LoadReport &Told = Option.Report_;
+    return Told.Queued_ > 0 || Told.InFlight_ >= Told.Limit_;
+  });
   std::optional<std::size_t> Picked = pick(Node, Target, Options.Accepting_);
   if (!Picked || !Node.Budgets_[Target.Service_].take())
     return;
--- a/src/routing/owner_choice.cpp
+++ b/src/routing/owner_choice.cpp
@@ -10,6 +10,7 @@
 constexpr double SlowerWeight = 0.3;
 constexpr double FasterWeight = 0.1;
 constexpr double MaxSlowness = 100;
+constexpr double AbandonedFactor = 2;
 constexpr double SlownessHalfLifeMicros = 2e6;
 constexpr Micros LevelLifetime = millis(1000);
 constexpr Micros ProbeInterval = millis(50);
@@ -30,6 +31,14 @@
   SlownessAt_ = Now;
 }
 
+void OwnerView::onAbandoned(TimePoint Now, double AtLeast) {
+  onEnded();
+  Slowness_ =
+      std::clamp(std::max(AtLeast, slowness(Now) * AbandonedFactor), 1.0,
+                 MaxSlowness);
+  SlownessAt_ = Now;
+}
+
 void OwnerView::onReport(TimePoint Now, const std::string &Route,
                          const LoadReport &Report) {
   Report_ = Report;
--- /dev/null
+++ b/tests/mutants/mutants.py
@@ -0,0 +1,153 @@
+"""Broken variants of the code: each removes one guard, and the test that
+stands for it must fail."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class Mutant:
+    name: str
+    file: str
+    old: str
+    new: str
+    test: str  # unit, golden, or a failure test's name
+
+
+LEDGER = "src/revocation/attempt_ledger.cpp"
+TICKETS = "src/ticket/ticket_book.cpp"
+ATTEMPTS = "src/engine/attempt_system.cpp"
+OWNER = "src/engine/owner_system.cpp"
+ENTRY = "src/engine/entry_system.cpp"
+
+CORE = [
+    Mutant("no-fence", LEDGER, "if (Link <= From.FencedThrough_)", "if (false)", "golden"),
+    Mutant(
+        "forgets-finished",
+        LEDGER,
+        "if (Known != Finished_.end())",
+        "if (false)",
+        "golden",
+    ),
+    Mutant(
+        "ticket-starts-again",
+        TICKETS,
+        "if (Record.Reply_.Outcome_ != Outcome::NotRun)",
+        "if (false)",
+        "golden",
+    ),
+    Mutant(
+        "ticket-never-expires",
+        TICKETS,
+        "if (Value.ExpiryMs_ <= clockMs(Now))",
+        "if (false)",
+        "golden",
+    ),
+    Mutant(
+        "ticket-for-any-request",
+        TICKETS,
+        "if (Record.Digest_ != Digest)",
+        "if (false)",
+        "golden",
+    ),
+    Mutant(
+        "no-incarnation-check",
+        OWNER,
+        "if (Message.ToIncarnation_ != Node.Config_.Incarnation_) {",
+        "if (false) {",
+        "golden",
+    ),
+    Mutant(
+        "doubt-is-not-run",
+        ATTEMPTS,
+        "    Target.MayHaveRun_ = true;",
+        "    Target.MayHaveRun_ = false;",
+        "golden",
+    ),
+    Mutant(
+        "late-reply-is-taken",
+        ATTEMPTS,
+        "  std::optional<Attempt> Ended = take(Node, Sequence);\n"
+        "  if (!Ended || !Node.Requests_.contains(Ended->Request_)) {",
+        "  std::optional<Attempt> Ended = take(Node, Sequence);\n"
+        "  if (!Ended)\n"
+        "    for (std::pair<const std::uint64_t, Attempt> &Other : Node.Attempts_)\n"
+        "      Ended = Other.second;\n"
+        "  if (!Ended || !Node.Requests_.contains(Ended->Request_)) {",
+        "golden",
+    ),
+    Mutant(
+        "retries-are-free",
+        ENTRY,
+        "if (Payer == 0 && hasFullPolicy(Node)) {",
+        "if (false) {",
+        "golden",
+    ),
+    Mutant(
+        "highest-rank-is-evicted",
+        "src/admission/work_queue.cpp",
+        "return Left.Rank_ > Right.Rank_;",
+        "return Left.Rank_ < Right.Rank_;",
+        "unit",
+    ),
+    Mutant(
+        "drain-takes-work",
+        OWNER,
+        "if (Node.Backend_.Announcement_.State_ == BackendState::Draining)\n"
+        "    return ErrorCode::Leaving;",
+        "if (false)\n    return ErrorCode::Leaving;",
+        "golden",
+    ),
+    Mutant(
+        "silence-is-not-found",
+        "src/engine/link_system.cpp",
+        "SilentAfter = millis(500)",
+        "SilentAfter = millis(500'000)",
+        "golden",
+    ),
+    Mutant(
+        "serves-without-settings",
+        ENTRY,
+        "if (Node.Phase_ == NodePhase::Starting)\n    return ErrorCode::SettingsUnavailable;",
+        "if (false)\n    return ErrorCode::SettingsUnavailable;",
+        "golden",
+    ),
+    Mutant(
+        "settings-go-back",
+        "src/settings/registry.cpp",
+        "if (Offered.Version_ <= versionOf(Offered.Path_))",
+        "if (false)",
+        "unit",
+    ),
+]
+
+PROCESSES = [
+    Mutant(
+        "doubt-is-not-run",
+        ATTEMPTS,
+        "  learnFromSilence(Node, Lost, Target.Route_);\n"
+        "  Target.LastError_ = ErrorCode::OutcomeUnknown;",
+        "  return onNeverSent(Node, Sequence);",
+        "test_crash",
+    ),
+    Mutant(
+        "silence-is-not-found",
+        "src/engine/link_system.cpp",
+        "SilentAfter = millis(500)",
+        "SilentAfter = millis(500'000)",
+        "test_network",
+    ),
+    Mutant(
+        "stop-cuts-off",
+        "src/engine/leave_system.cpp",
+        "if (!Node.Works_.empty() || !Node.Requests_.empty()) {",
+        "if (false) {",
+        "test_leaving",
+    ),
+    Mutant(
+        "nobody-spreads-settings",
+        "src/engine/settings_system.cpp",
+        "  return Heavier < WatchersOfDomain && Node.Phase_ != NodePhase::Leaving;",
+        "  return false && Heavier < WatchersOfDomain;",
+        "test_platform",
+    ),
+]
--- a/tests/unit/routing_test.cpp
+++ b/tests/unit/routing_test.cpp
@@ -134,3 +134,14 @@
   for (const std::pair<const std::string, int> &Count : OfDomain)
     CHECK(Count.second == 2);
 }
+
+TEST(OwnerChoice, AbandonedAttemptNeverMakesAnOwnerLookFaster) {
+  OwnerView View;
+  View.onSent();
+  View.onEnded(Zero, 10);
+  double Before = View.slowness(Zero);
+  View.onSent();
+  View.onAbandoned(Zero, 2);
+  CHECK(View.slowness(Zero) >= Before);
+  CHECK(View.inFlight() == 0);
+}
--- a/tools/load.cpp
+++ b/tools/load.cpp
@@ -279,7 +279,7 @@
     if (Outcome != nullptr && *Outcome == "not-run") {
       ++Result.NotRun_;
       Result.NotRunIds_.push_back(Item.Id_);
-    } else if (Outcome == nullptr || *Outcome == "unknown") {
+    } else if (Outcome != nullptr && *Outcome == "unknown") {
       ++Result.Unknown_;
     } else if (Response->Status_ != 200) {
       ++Result.Failed_;
