Short and long work: levels of their own, kept slots by need

Cause: lookups of 10 ms beside an overload of 400 ms reports of the same importance: 1121 of 1390 served, p99 467 ms (11 ms alone). Reports alone raised the one admission level, which then shed lookups at the entries although slots were kept for them; and with many reports the common route was the long one, so a report sometimes counted as short. Change: a level for each class; a route is long against the mean of the routes, each counted once; slots are kept for one and a half times the short work that ran lately, in place of always 30 %.

--- a/include/fulmarshelf/detail/engine/node_state.hpp
+++ b/include/fulmarshelf/detail/engine/node_state.hpp
@@ -96,7 +96,8 @@
   ServiceIndex Owners_;
   WorkQueue Queue_;
   ConcurrencyLimit Limit_;
-  AdmissionLevel Level_;
+  AdmissionLevel ShortLevel_;
+  AdmissionLevel LongLevel_; ///< for work whose route takes long
   TicketBook Tickets_;
   AttemptLedger Ledger_;
   ServiceTimes CallTimes_; ///< of calls, as the entry sees them
@@ -105,6 +106,7 @@
   std::array<TimePoint, 10> ShortSeen_{}; ///< last short work by importance
   unsigned Running_ = 0;
   unsigned LongRunning_ = 0;
+  double ShortPeak_ = 0; ///< most short work that ran at a time, lately
   bool LevelTimerSet_ = false;
   bool SweepTimerSet_ = false;
 
--- a/include/fulmarshelf/detail/engine/systems.hpp
+++ b/include/fulmarshelf/detail/engine/systems.hpp
@@ -71,7 +71,13 @@
 /// @brief Refuses all that waits, for instance because the node leaves.
 void refuseQueued(NodeState &Node, ErrorCode Why);
 void onLevelWindow(NodeState &Node);
-LoadReport loadReport(const NodeState &Node, Rank ChildLevel);
+/// @brief What this owner tells about itself on an answer.
+/// @param Long whether the answered work's route takes long
+/// @param ChildLevel highest level that its calls have met
+LoadReport loadReport(const NodeState &Node, bool Long, Rank ChildLevel);
+/// @brief Lowest rank that is admitted now. Long and short work have levels of
+/// their own, since short work has slots that long work cannot take.
+Rank admissionLevel(const NodeState &Node, bool Long);
 } // namespace owner_system
 
 /// @brief Keeps the table of the own backend server.
--- a/include/fulmarshelf/detail/routing/service_times.hpp
+++ b/include/fulmarshelf/detail/routing/service_times.hpp
@@ -22,7 +22,9 @@
   Micros unusual(const std::string &Route) const;
   /// @brief Time of a route when nothing else runs, 0 when unknown; O(1).
   Micros shortest(const std::string &Route) const;
-  /// @brief True when a route takes much longer than the common one.
+  /// @brief True when a route takes more than twice the geometric mean of all
+  /// routes. Each route counts once, so that many calls of a long route do not
+  /// make it the common one.
   bool isLong(const std::string &Route) const;
 
 private:
@@ -35,7 +37,7 @@
   const Times *find(const std::string &Route) const;
 
   std::unordered_map<std::string, Times> Routes_;
-  double MeanLog_ = 0; ///< of all answers, by number
+  double LogSum_ = 0; ///< of the routes' means
 };
 
 } // namespace fulmarshelf
--- a/src/engine/answer_system.cpp
+++ b/src/engine/answer_system.cpp
@@ -30,7 +30,8 @@
                                   Node.Now_, Target.Route_));
   if (backend_system::isServing(Node) &&
       Node.Backend_.Announcement_.Service_ == Target.Service_)
-    Lowest = std::min(Lowest, Node.Level_.level());
+    Lowest = std::min(Lowest, owner_system::admissionLevel(
+                                  Node, Node.WorkTimes_.isLong(Target.Route_)));
   return Lowest == UINT32_MAX ? 0 : Lowest;
 }
 
@@ -84,7 +85,7 @@
     return;
   }
   CallReply Sent = Reply;
-  Sent.Load_ = owner_system::loadReport(Node, 0);
+  Sent.Load_ = owner_system::loadReport(Node, false, 0);
   act(Node, AnswerCall{std::get<StreamKey>(To), Sent});
 }
 
--- a/src/engine/attempt_system.cpp
+++ b/src/engine/attempt_system.cpp
@@ -74,7 +74,8 @@
   if (!servesHere(Node, Target.Service_) ||
       Target.Tried_.contains(ownName(Node)))
     return;
-  Rank Level = Node.Level_.level();
+  bool Long = Node.WorkTimes_.isLong(Target.Route_);
+  Rank Level = owner_system::admissionLevel(Node, Long);
   if (hasFullPolicy(Node) && Level > Target.Context_.Rank_) {
     ++Options.Refusing_;
     Options.LowestLevel_ = std::min(Options.LowestLevel_, Level);
@@ -83,7 +84,7 @@
   OwnerView &View = Node.Peers_[ownName(Node)].Owner_;
   Options.Accepting_.push_back({ownName(Node), View.slowness(Node.Now_),
                                 View.inFlight(),
-                                owner_system::loadReport(Node, 0), 0});
+                                owner_system::loadReport(Node, Long, 0), 0});
 }
 
 Choice findOwners(NodeState &Node, const Request &Target) {
--- a/src/engine/owner_system.cpp
+++ b/src/engine/owner_system.cpp
@@ -11,6 +11,8 @@
 // so that the answer still finds its caller when running takes longer.
 constexpr std::int64_t WaitShare = 2;
 constexpr double LongSlotShare = 0.7;
+constexpr double KeptOverPeak = 1.5;
+constexpr double PeakDecay = 0.98;
 constexpr Micros ShortMemory = millis(1000);
 constexpr Micros SweepInterval = millis(5);
 constexpr Micros StartedWorkGrace = millis(60'000);
@@ -22,6 +24,10 @@
 
 bool isIdempotent(const Work &Target) { return Target.Context_.Idempotent_; }
 
+AdmissionLevel &levelOf(NodeState &Node, bool Long) {
+  return Long ? Node.LongLevel_ : Node.ShortLevel_;
+}
+
 void tellWaiters(NodeState &Node, Work &Ended, const CallReply &Reply) {
   for (const StreamKey &Stream : Ended.RevokeWaiters_) {
     bool Started = Reply.Outcome_ != Outcome::NotRun;
@@ -49,7 +55,7 @@
   Node.Works_.erase(Found);
   Node.WorkOfAttempt_.erase(Ended.Attempt_);
   Reply.TokensLeft_ = Ended.Context_.Tokens_;
-  Reply.Load_ = loadReport(Node, Ended.ChildLevel_);
+  Reply.Load_ = loadReport(Node, Ended.Long_, Ended.ChildLevel_);
   if (Ended.Attempt_.Node_ != ownName(Node))
     Node.Ledger_.finish(Ended.Attempt_, Reply, !isIdempotent(Ended));
   tellWaiters(Node, Ended, Reply);
@@ -75,7 +81,7 @@
   if (Found == Node.Works_.end())
     return;
   if (Why == ErrorCode::Shed)
-    Node.Level_.onEviction();
+    levelOf(Node, Item.Long_).onEviction();
   log(Node, EventNumber::WorkEvicted,
       {{"work", textOf(Item.Work_)},
        {"root", Found->second.Context_.Root_},
@@ -108,7 +114,9 @@
   ++Node.Running_;
   if (Target.Long_)
     ++Node.LongRunning_;
-  Node.Level_.onStart();
+  Node.ShortPeak_ = std::max(
+      Node.ShortPeak_, static_cast<double>(Node.Running_ - Node.LongRunning_));
+  levelOf(Node, Target.Long_).onStart();
   Micros Waited = Node.Now_ - Target.Arrived_;
   log(Node, EventNumber::WorkDispatched,
       {{"work", textOf(Item.Work_)},
@@ -126,7 +134,8 @@
                    requestForBackend(Node, Target), !isIdempotent(Target)});
 }
 
-// Long work leaves some slots free for short work of at least its importance.
+// Long work leaves some slots free for short work of at least its importance:
+// a little more than short work has used lately, up to a share of all.
 bool longAllowed(const NodeState &Node, unsigned Importance) {
   bool ShortAround = false;
   for (unsigned Level = Importance; Level < Node.ShortSeen_.size(); ++Level)
@@ -135,8 +144,11 @@
                         Node.Now_ - Node.ShortSeen_[Level] < ShortMemory);
   if (!ShortAround)
     return true;
-  auto Share = static_cast<unsigned>(Node.Limit_.limit() * LongSlotShare);
-  return Node.LongRunning_ < std::max(1U, Share);
+  unsigned Limit = Node.Limit_.limit();
+  auto MostKept = static_cast<unsigned>(Limit * (1 - LongSlotShare));
+  auto Wanted = static_cast<unsigned>(Node.ShortPeak_ * KeptOverPeak) + 1;
+  unsigned Kept = std::min(MostKept, Wanted);
+  return Node.LongRunning_ + Kept < std::max(Limit, Kept + 1);
 }
 
 void fillSlots(NodeState &Node) {
@@ -225,7 +237,7 @@
        {"error", std::string(errorName(Why))}});
   CallReply Reply = notRun(Why);
   Reply.TokensLeft_ = Context.Tokens_;
-  Reply.Load_ = loadReport(Node, 0);
+  Reply.Load_ = loadReport(Node, false, 0);
   if (const StreamKey *Stream = std::get_if<StreamKey>(&Waiter)) {
     Node.Ledger_.finish(Attempt, Reply, true);
     act(Node, AnswerCall{*Stream, Reply});
@@ -275,10 +287,14 @@
 
 } // namespace
 
-LoadReport loadReport(const NodeState &Node, Rank ChildLevel) {
+Rank admissionLevel(const NodeState &Node, bool Long) {
+  return Long ? Node.LongLevel_.level() : Node.ShortLevel_.level();
+}
+
+LoadReport loadReport(const NodeState &Node, bool Long, Rank ChildLevel) {
   LoadReport Report;
   if (hasFullPolicy(Node))
-    Report.Level_ = std::max(Node.Level_.level(), ChildLevel);
+    Report.Level_ = std::max(admissionLevel(Node, Long), ChildLevel);
   Report.InFlight_ = Node.Running_;
   Report.Queued_ = static_cast<std::uint32_t>(Node.Queue_.size());
   Report.Limit_ = Node.Limit_.limit();
@@ -317,7 +333,7 @@
   Work Fresh = makeWork(Node, Attempt, Waiter, Context, Http);
   QueuedWork Item = makeQueued(Node, Fresh);
   noteShortWork(Node, Fresh);
-  Node.Level_.onArrival(Item.Rank_);
+  levelOf(Node, Fresh.Long_).onArrival(Item.Rank_);
   log(Node, EventNumber::WorkQueued,
       {{"work", textOf(Fresh.Id_)},
        {"attempt", toString(Attempt)},
@@ -352,12 +368,17 @@
 
 void onLevelWindow(NodeState &Node) {
   Node.LevelTimerSet_ = false;
-  if (Node.Level_.update(Node.Now_))
+  Node.ShortPeak_ *= PeakDecay;
+  bool ShortChanged = Node.ShortLevel_.update(Node.Now_);
+  bool LongChanged = Node.LongLevel_.update(Node.Now_);
+  if (ShortChanged || LongChanged)
     log(Node, EventNumber::LevelChanged,
-        {{"level", std::to_string(Node.Level_.level())},
+        {{"short", std::to_string(Node.ShortLevel_.level())},
+         {"long", std::to_string(Node.LongLevel_.level())},
          {"queued", std::to_string(Node.Queue_.size())},
          {"limit", std::to_string(Node.Limit_.limit())}});
-  if (Node.Level_.level() == 0 && Node.Queue_.empty())
+  bool Open = Node.ShortLevel_.level() == 0 && Node.LongLevel_.level() == 0;
+  if (Open && Node.Queue_.empty())
     return;
   Node.LevelTimerSet_ = true;
   setTimer(Node, AdmissionLevel::Window, TimerKind::LevelWindow);
@@ -375,7 +396,7 @@
   freeSlot(Node, Target);
   if (Shed) {
     Node.Limit_.onOverload(Node.Now_, InFlight);
-    Node.Level_.onEviction();
+    levelOf(Node, Target.Long_).onEviction();
   } else {
     if (Response.Status_ < FirstFailureStatus)
       Node.WorkTimes_.observe(Target.Route_, Took);
--- a/src/engine/status.cpp
+++ b/src/engine/status.cpp
@@ -42,14 +42,15 @@
 
 // Says in one line why work is shed now, or that none is.
 std::string reasonOf(const NodeState &Node) {
-  Rank Level = Node.Level_.level();
+  Rank Level = std::max(Node.ShortLevel_.level(), Node.LongLevel_.level());
   if (Node.Phase_ == NodePhase::Starting)
     return "no settings yet: all requests are refused";
   if (Node.Phase_ == NodePhase::Leaving)
     return "leaving: new requests are refused";
   if (Level == 0)
     return "nothing is shed here";
-  return "the backend server is full: work below importance " +
+  std::string Kind = Node.ShortLevel_.level() == 0 ? "long work" : "work";
+  return "the backend server is full: " + Kind + " below importance " +
          std::to_string(importanceOf(Level)) +
          " is refused, and part of importance " +
          std::to_string(importanceOf(Level));
@@ -78,7 +79,8 @@
                    {"limit", Node.Limit_.limit()},
                    {"running", Node.Running_},
                    {"queued", Node.Queue_.size()},
-                   {"level", Node.Level_.level()},
+                   {"level", Node.ShortLevel_.level()},
+                   {"long_level", Node.LongLevel_.level()},
                    {"shedding", reasonOf(Node)},
                    {"by_importance", countsOf(Node)},
                    {"tables",
--- a/src/routing/owner_choice.cpp
+++ b/src/routing/owner_choice.cpp
@@ -33,9 +33,8 @@
 
 void OwnerView::onAbandoned(TimePoint Now, double AtLeast) {
   onEnded();
-  Slowness_ =
-      std::clamp(std::max(AtLeast, slowness(Now) * AbandonedFactor), 1.0,
-                 MaxSlowness);
+  Slowness_ = std::clamp(std::max(AtLeast, slowness(Now) * AbandonedFactor),
+                         1.0, MaxSlowness);
   SlownessAt_ = Now;
 }
 
--- a/src/routing/service_times.cpp
+++ b/src/routing/service_times.cpp
@@ -35,12 +35,12 @@
   if (Fresh)
     Entry = {Value, Value / 2, Value};
   double Error = Value - Entry.Mean_;
+  LogSum_ -= Fresh ? 0 : std::log(Entry.Mean_);
   Entry.Mean_ += Weight * Error;
+  LogSum_ += std::log(Entry.Mean_);
   Entry.Deviation_ += Weight * (std::abs(Error) - Entry.Deviation_);
   // The floor follows the fastest calls and forgets them slowly.
   Entry.Floor_ = std::min(Entry.Floor_ * (1 + FloorRise), Value);
-  MeanLog_ = MeanLog_ == 0 ? std::log(Value)
-                           : MeanLog_ + Weight * (std::log(Value) - MeanLog_);
 }
 
 Micros ServiceTimes::expected(const std::string &Route) const {
@@ -62,7 +62,10 @@
 
 bool ServiceTimes::isLong(const std::string &Route) const {
   const Times *Known = find(Route);
-  return Known != nullptr && Known->Mean_ > LongFactor * std::exp(MeanLog_);
+  if (Known == nullptr)
+    return false;
+  double Middle = std::exp(LogSum_ / static_cast<double>(Routes_.size()));
+  return Known->Mean_ > LongFactor * Middle;
 }
 
 } // namespace fulmarshelf
--- a/src/shell/metrics.cpp
+++ b/src/shell/metrics.cpp
@@ -96,7 +96,10 @@
   writeValue(Out, "fulmarshelf_queued", "gauge", "Work that waits for a slot",
              static_cast<double>(Node.Queue_.size()));
   writeValue(Out, "fulmarshelf_level", "gauge",
-             "Lowest rank that is admitted now", Node.Level_.level());
+             "Lowest rank that is admitted now", Node.ShortLevel_.level());
+  writeValue(Out, "fulmarshelf_long_level", "gauge",
+             "Lowest rank of long work that is admitted now",
+             Node.LongLevel_.level());
   writeValue(Out, "fulmarshelf_members", "gauge", "Other nodes in use",
              static_cast<double>(Node.Membership_.usable().size()));
   writeValue(Out, "fulmarshelf_datagrams_sent_total", "counter",
