Failure tests of bad input and abuse, and a steady run of 30 s

Each answer of 5,400 requests is checked by content; malformed HTTP and HTTP/2, header and body floods, forged tickets, 3,000 nonsense datagrams, a settings text of a megabyte: a clear error, the node serves on.

--- /dev/null
+++ b/tests/failure/test_abuse.py
@@ -0,0 +1,160 @@
+"""Bad input and abuse: a clear error, bounded memory, no crash; and a steady
+run in which every caller gets its own whole answer."""
+
+import random
+import socket
+
+from harness import Mesh, http, plan, run_tests, stream_of
+
+MEMORY_BOUND_MB = 64
+
+
+def address(text):
+    host, port = text.rsplit(":", 1)
+    return host, int(port)
+
+
+def talk(place, data):
+    """Sends bytes and returns what comes back until the peer closes."""
+    with socket.create_connection(address(place), timeout=5) as connection:
+        connection.sendall(data)
+        connection.shutdown(socket.SHUT_WR)
+        answer = b""
+        while True:
+            try:
+                part = connection.recv(65536)
+            except OSError:
+                return answer
+            if not part:
+                return answer
+            answer += part
+
+
+def resident_mb(worker):
+    with open(f"/proc/{worker.node_process.pid}/status", encoding="utf-8") as file:
+        for line in file:
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1]) / 1024
+    return 0
+
+
+def bad_requests(checker, directory):
+    with Mesh("kwan", directory, base_port=18000).start() as mesh:
+        worker = mesh.of("roomfront")[0]
+        entry = worker.callers
+        cases = [
+            ("no HTTP", b"nonsense\r\n\r\n", b"400"),
+            ("bad length", b"POST /roomfront/x HTTP/1.1\r\nContent-Length: x\r\n\r\n", b"400"),
+            (
+                "huge body",
+                b"POST /roomfront/x HTTP/1.1\r\nContent-Length: 9999999\r\n\r\n",
+                b"413",
+            ),
+            (
+                "header flood",
+                b"GET /roomfront/x HTTP/1.1\r\n" + b"X: " + b"y" * 100_000 + b"\r\n\r\n",
+                b"400",
+            ),
+        ]
+        for name, data, status in cases:
+            answer = talk(entry, data)
+            checker.require(status in answer.split(b"\r\n")[0], f"{name}: {answer[:80]}")
+            checker.require(b"Fulmarshelf-Outcome: not-run" in answer, f"{name}: outcome")
+        checks = [
+            ("unknown service", http("GET", entry, "/nosuch/x"), 404),
+            ("no service", http("GET", entry, "/"), 404),
+            ("large body", http("PUT", entry, "/roomfront/x", "b" * 300_000), 413),
+            (
+                "forged ticket",
+                http(
+                    "POST",
+                    entry,
+                    "/roomfront/reserve",
+                    "x",
+                    {"Idempotency-Key": "roomfront-1.1.1.1.0123456789abcdef"},
+                ),
+                502,
+            ),
+            (
+                "no ticket at all",
+                http("POST", entry, "/roomfront/reserve", "x", {"Idempotency-Key": "a"}),
+                428,
+            ),
+            (
+                "unknown parent",
+                http(
+                    "GET",
+                    worker.backend_side,
+                    "/songbook/lookup",
+                    headers={"Fulmarshelf-Parent": "roomfront-1.1.1"},
+                ),
+                409,
+            ),
+            (
+                "bad announcement",
+                http("POST", worker.backend_side, "/_fulmarshelf/announce", "{}"),
+                400,
+            ),
+        ]
+        for name, (status, headers, body), wanted in checks:
+            checker.require(status == wanted, f"{name}: {status} {body[:100]}")
+            if status not in (400,):
+                outcome = headers.get("Fulmarshelf-Outcome", headers.get("fulmarshelf-outcome"))
+                checker.require(outcome in ("not-run", "unknown"), f"{name}: {outcome}")
+        mesh.of("bookdesk")[0].backend_process.kill()
+        torn = socket.create_connection(address(entry), timeout=5)
+        torn.sendall(b"GET /roomfront/browse HTTP/1.1\r\nHost: h\r\n\r\n")
+        torn.close()
+        checker.require(http("GET", entry, "/roomfront/browse")[0] == 200, "still serves")
+
+
+def nonsense_from_peers(checker, directory):
+    with Mesh("kwan", directory, base_port=18200).start() as mesh:
+        worker = mesh.of("songbook")[0]
+        dice = random.Random(5)
+        datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        for _ in range(3000):
+            size = dice.randrange(1, 1400)
+            datagrams.sendto(dice.randbytes(size), address(worker.peers))
+        for _ in range(100):
+            talk(worker.peers, dice.randbytes(dice.randrange(1, 4000)))
+            preface = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + b"\0\0\0\4\0\0\0\0\0"
+            talk(worker.peers, preface + dice.randbytes(dice.randrange(1, 4000)))
+        checker.require(worker.node_process.poll() is None, "the node has crashed")
+        checker.require(
+            http("GET", worker.callers, "/songbook/lookup")[0] == 200, "still serves"
+        )
+        checker.require(
+            resident_mb(worker) < MEMORY_BOUND_MB, f"{resident_mb(worker)} MB in use"
+        )
+
+
+def oversized_settings(checker, directory):
+    with Mesh("kwan", directory, base_port=18400).start() as mesh:
+        path = f"{directory}/large.ini"
+        with open(path, "w", encoding="utf-8") as file:
+            file.write("[team]\nservices = a\n" + "; " + "x" * 80 + "\n" * 1_000_000)
+        code, _, err = mesh.cli("settings", "apply", "/large", path)
+        checker.require(code == 2 and "file-too-large" in err, f"{code} {err[:200]}")
+
+
+def everybody_gets_an_answer(checker, directory):
+    """30 s at a moderate rate: every answer is whole and its caller's own."""
+    with Mesh("kwan", directory, base_port=18600).start() as mesh:
+        report = mesh.run_load(
+            plan(mesh.entries("roomfront"), 30_000, browse=150, reserve=30, retries=0)
+        )
+        checker.check_runs(mesh, report)
+        checker.check_answers(report)
+        for stream in report["streams"]:
+            checker.require(
+                stream["ok"] == stream["sent"],
+                f"{stream['name']}: {stream['ok']} of {stream['sent']}",
+            )
+        checker.require(stream_of(report, "browse")["sent"] > 4000, "too few were sent")
+
+
+if __name__ == "__main__":
+    run_tests(
+        [bad_requests, nonsense_from_peers, oversized_settings, everybody_gets_an_answer]
+    )
