Split owner search and slots; an owner that comes back is used again

Found on the way: an entry kept an owner's word of leaving for ever, so a backend server that stopped draining got no work from it. Change: owner_search and work_slots of their own; the word counts for 3 s, longer than the membership takes to tell.

--- a/include/fulmarshelf/detail/base/ids.hpp
+++ b/include/fulmarshelf/detail/base/ids.hpp
@@ -30,6 +30,11 @@
 /// lives of one node name.
 using Incarnation = std::uint64_t;
 
+/// @brief Decimal text of an id.
+template <typename Tag> std::string toString(Id<Tag> Key) {
+  return std::to_string(Key.Value_);
+}
+
 /// @brief Names one attempt for ever: values are never used a second time.
 struct AttemptId {
   std::string Node_;
--- /dev/null
+++ b/include/fulmarshelf/detail/engine/owner_search.hpp
@@ -0,0 +1,34 @@
+#ifndef FULMARSHELF_DETAIL_ENGINE_OWNER_SEARCH_HPP
+#define FULMARSHELF_DETAIL_ENGINE_OWNER_SEARCH_HPP
+
+#include "fulmarshelf/detail/engine/node_state.hpp"    // NodeState
+#include "fulmarshelf/detail/engine/tables.hpp"        // Request
+#include "fulmarshelf/detail/routing/owner_choice.hpp" // Candidate
+
+#include <optional> // optional
+#include <string>   // string
+#include <vector>   // vector
+
+namespace fulmarshelf {
+
+/// @brief Owners for one request, by whether they admit its rank now.
+struct OwnerOptions {
+  std::vector<Candidate> Accepting_;
+  std::vector<std::string> Probes_; ///< refuse by level, probe allowed
+  unsigned Refusing_ = 0;
+  Rank LowestLevel_ = UINT32_MAX; ///< among those that refuse
+};
+
+/// @brief Finds the owners that may take a request and were not tried yet; the
+/// ones that are not preferred only when no preferred one accepts.
+/// O(owners looked at)
+OwnerOptions findOwners(NodeState &Node, const Request &Target);
+
+/// @brief Chooses one of the accepting owners.
+/// @return index of the choice, nullopt when there is none
+std::optional<std::size_t> pickOwner(NodeState &Node, const Request &Target,
+                                     const std::vector<Candidate> &Options);
+
+} // namespace fulmarshelf
+
+#endif
--- a/include/fulmarshelf/detail/routing/owner_choice.hpp
+++ b/include/fulmarshelf/detail/routing/owner_choice.hpp
@@ -33,6 +33,8 @@
   /// @brief How much slower than usual calls run there, 1 when as usual;
   /// falls back to 1 with time so that a recovered owner is tried again.
   double slowness(TimePoint Now) const;
+  /// @brief True for a while after the owner said that it leaves.
+  bool isLeaving(TimePoint Now) const;
   /// @brief Lowest rank admitted for a route, 0 when not known or outdated.
   Rank level(TimePoint Now, const std::string &Route) const;
   /// @brief Lets one request through although the level forbids it.
@@ -53,6 +55,7 @@
   double Slowness_ = 1;
   TimePoint SlownessAt_;
   LoadReport Report_;
+  TimePoint ReportedAt_;
   std::unordered_map<std::string, RouteLevel> Levels_;
 };
 
--- a/src/engine/attempt_system.cpp
+++ b/src/engine/attempt_system.cpp
@@ -1,6 +1,7 @@
-#include "fulmarshelf/detail/engine/answers.hpp"    // notRun
-#include "fulmarshelf/detail/engine/systems.hpp"    // attempt_system
-#include "fulmarshelf/detail/retry/token_split.hpp" // tokensForAttempt
+#include "fulmarshelf/detail/engine/answers.hpp"      // notRun
+#include "fulmarshelf/detail/engine/owner_search.hpp" // findOwners
+#include "fulmarshelf/detail/engine/systems.hpp"      // attempt_system
+#include "fulmarshelf/detail/retry/token_split.hpp"   // tokensForAttempt
 
 #include <algorithm> // max, min
 #include <utility>   // exchange
@@ -16,103 +17,15 @@
 constexpr unsigned MaxFreeMoves = 2;
 constexpr Micros LeastHedgeDelay = millis(5);
 constexpr int HedgeFactor = 2;
-constexpr Micros DomainDistance = millis(2);
-constexpr Micros RegionDistance = millis(20);
 constexpr std::uint16_t FirstFailureStatus = 500;
 constexpr double FailureSlowness = 3;
 constexpr Micros LeastRetryAfter = millis(200);
 constexpr Micros RetryAfterSpread = millis(800);
 
-std::string textOf(RequestId Id) { return std::to_string(Id.Value_); }
-
-bool servesHere(const NodeState &Node, const std::string &Service) {
-  return backend_system::isServing(Node) &&
-         Node.Backend_.Announcement_.Service_ == Service;
-}
-
-// Network time to a member in units of the usual time of the route.
-double distanceTo(const NodeState &Node, const Member &Owner, Micros Expected) {
-  const NodeSettings &Own = Node.Config_.Settings_;
-  Micros Distance{0};
-  if (Owner.Region_ != Own.Region_)
-    Distance = RegionDistance;
-  else if (Owner.FailureDomain_ != Own.FailureDomain_)
-    Distance = DomainDistance;
-  double Unit = std::max<double>(1000, static_cast<double>(Expected.count()));
-  return static_cast<double>(Distance.count()) / Unit;
-}
-
-struct Choice {
-  std::vector<Candidate> Accepting_;
-  std::vector<std::string> Probes_; ///< refuse by level, probe allowed
-  unsigned Refusing_ = 0;
-  Rank LowestLevel_ = UINT32_MAX;
-};
-
-void consider(NodeState &Node, const Request &Target, const Member &Owner,
-              Choice &Options) {
-  PeerView &View = Node.Peers_[Owner.Node_];
-  bool Tried = Target.Tried_.contains(Owner.Node_);
-  bool Unreachable = View.Link_.Value_ == 0 && Node.Now_ < View.RetryLink_;
-  if (Tried || Unreachable || View.Owner_.report().Leaving_)
-    return;
-  Rank Level = View.Owner_.level(Node.Now_, Target.Route_);
-  if (hasFullPolicy(Node) && Level > Target.Context_.Rank_) {
-    ++Options.Refusing_;
-    Options.LowestLevel_ = std::min(Options.LowestLevel_, Level);
-    if (View.Owner_.takeProbe(Node.Now_, Target.Route_))
-      Options.Probes_.push_back(Owner.Node_);
-    return;
-  }
-  Micros Expected = Node.CallTimes_.expected(Target.Route_);
-  Options.Accepting_.push_back({Owner.Node_, View.Owner_.slowness(Node.Now_),
-                                View.Owner_.inFlight(), View.Owner_.report(),
-                                distanceTo(Node, Owner, Expected)});
-}
-
-void considerSelf(NodeState &Node, const Request &Target, Choice &Options) {
-  if (!servesHere(Node, Target.Service_) ||
-      Target.Tried_.contains(ownName(Node)))
-    return;
-  bool Long = Node.WorkTimes_.isLong(Target.Route_);
-  Rank Level = owner_system::admissionLevel(Node, Long);
-  if (hasFullPolicy(Node) && Level > Target.Context_.Rank_) {
-    ++Options.Refusing_;
-    Options.LowestLevel_ = std::min(Options.LowestLevel_, Level);
-    return;
-  }
-  OwnerView &View = Node.Peers_[ownName(Node)].Owner_;
-  Options.Accepting_.push_back({ownName(Node), View.slowness(Node.Now_),
-                                View.inFlight(),
-                                owner_system::loadReport(Node, Long, 0), 0});
-}
-
-Choice findOwners(NodeState &Node, const Request &Target) {
-  Choice Options;
-  considerSelf(Node, Target, Options);
-  const ServiceOwners Owners =
-      Node.Owners_.owners(Node.Membership_, Target.Service_);
-  for (const Member &Owner : Owners.Preferred_)
-    consider(Node, Target, Owner, Options);
-  if (!Options.Accepting_.empty())
-    return Options;
-  for (const Member &Owner : Owners.Others_)
-    consider(Node, Target, Owner, Options);
-  return Options;
-}
-
-std::optional<std::size_t> pick(NodeState &Node, const Request &Target,
-                                const std::vector<Candidate> &Options) {
-  if (hasFullPolicy(Node) || Options.empty())
-    return chooseOwner(Options, Node.Random_);
-  return Node.RoundRobin_[Target.Service_]++ % Options.size();
-}
-
 // Spread, so that the refused callers do not come back all at one time.
-Micros retryAfter(const NodeState &Node, const Request &Target) {
+Micros retryAfter(const Request &Target) {
   std::int64_t Part = static_cast<std::int64_t>(Target.Context_.Rank_ & 0xff);
   Micros Spread = RetryAfterSpread * Part / 0xff;
-  (void)Node;
   return std::max(Target.RetryAfter_, LeastRetryAfter + Spread);
 }
 
@@ -122,7 +35,7 @@
     return;
   CallReply Reply = Target.MayHaveRun_
                         ? unknownOutcome(Target.LastError_)
-                        : notRun(Target.LastError_, retryAfter(Node, Target));
+                        : notRun(Target.LastError_, retryAfter(Target));
   answer_system::finish(Node, Id, Reply);
 }
 
@@ -144,7 +57,7 @@
     Costs += (Costs.empty() ? "" : ",") + Option.Node_ + ":" +
              std::to_string(candidateCost(Option)).substr(0, 5);
   log(Node, EventNumber::OwnerChosen,
-      {{"request", textOf(Target.Id_)},
+      {{"request", toString(Target.Id_)},
        {"attempt", std::to_string(Fresh.Sequence_)},
        {"owner", Fresh.Node_},
        {"rank", std::to_string(Target.Context_.Rank_)},
@@ -222,7 +135,7 @@
     --Target.Context_.Tokens_;
   else
     log(Node, EventNumber::RetryDenied,
-        {{"request", textOf(Target.Id_)},
+        {{"request", toString(Target.Id_)},
          {"tokens", std::to_string(Target.Context_.Tokens_)}});
   return Allowed;
 }
@@ -234,7 +147,7 @@
   if (!hasFullPolicy(Node))
     Target.Tried_.clear();
   log(Node, EventNumber::RetryStarted,
-      {{"request", textOf(Id)},
+      {{"request", toString(Id)},
        {"after", std::string(errorName(Target.LastError_))}});
   pursue(Node, Id);
 }
@@ -315,8 +228,9 @@
 
 void pursue(NodeState &Node, RequestId Id) {
   Request &Target = Node.Requests_.at(Id);
-  Choice Options = findOwners(Node, Target);
-  std::optional<std::size_t> Picked = pick(Node, Target, Options.Accepting_);
+  OwnerOptions Options = findOwners(Node, Target);
+  std::optional<std::size_t> Picked =
+      pickOwner(Node, Target, Options.Accepting_);
   if (Picked) {
     std::string Owner = Options.Accepting_[*Picked].Node_;
     startAttempt(Node, Id, Owner, false, Options.Accepting_);
@@ -329,7 +243,7 @@
   if (Options.Refusing_ > 0)
     Target.LastError_ = ErrorCode::Shed;
   log(Node, EventNumber::NoOwnerAccepts,
-      {{"request", textOf(Id)},
+      {{"request", toString(Id)},
        {"service", Target.Service_},
        {"rank", std::to_string(Target.Context_.Rank_)},
        {"level",
@@ -454,7 +368,7 @@
   }
   Lost.RevokeLink_ = Asked;
   log(Node, EventNumber::RevokeSent,
-      {{"request", textOf(Id)},
+      {{"request", toString(Id)},
        {"attempt", std::to_string(Sequence)},
        {"owner", Lost.Node_},
        {"link", std::to_string(Asked.Value_)}});
@@ -496,21 +410,22 @@
   // A hedge helps against a straggler; under overload it only adds work.
   if (Target.Attempts_.size() != 1 || Target.Context_.Tokens_ == 0)
     return;
-  Choice Options = findOwners(Node, Target);
+  OwnerOptions Options = findOwners(Node, Target);
   if (Options.Refusing_ > 0)
     return;
   std::erase_if(Options.Accepting_, [](const Candidate &Option) {
     const LoadReport &Told = Option.Report_;
     return Told.Queued_ > 0 || Told.InFlight_ >= Told.Limit_;
   });
-  std::optional<std::size_t> Picked = pick(Node, Target, Options.Accepting_);
+  std::optional<std::size_t> Picked =
+      pickOwner(Node, Target, Options.Accepting_);
   if (!Picked || !Node.Budgets_[Target.Service_].take())
     return;
   --Target.Context_.Tokens_;
   Target.PayNext_ = true;
   std::string Owner = Options.Accepting_[*Picked].Node_;
   log(Node, EventNumber::HedgeStarted,
-      {{"request", textOf(Id)}, {"owner", Owner}});
+      {{"request", toString(Id)}, {"owner", Owner}});
   startAttempt(Node, Id, Owner, true, Options.Accepting_);
 }
 
--- a/src/engine/entry_system.cpp
+++ b/src/engine/entry_system.cpp
@@ -14,8 +14,6 @@
 constexpr std::uint32_t MaxDepth = 32;
 constexpr std::string_view TicketPath = "/_fulmarshelf/ticket";
 
-std::string textOf(RequestId Id) { return std::to_string(Id.Value_); }
-
 void refuse(NodeState &Node, const Waiter &To, const CallReply &Reply,
             const std::string &Detail, const std::string &FreshTicket = {}) {
   log(Node, EventNumber::RequestRefused,
@@ -117,7 +115,7 @@
 void join(NodeState &Node, RequestId Existing, const Waiter &To,
           TimePoint Deadline) {
   Request &Target = Node.Requests_.at(Existing);
-  log(Node, EventNumber::RequestJoined, {{"request", textOf(Existing)}});
+  log(Node, EventNumber::RequestJoined, {{"request", toString(Existing)}});
   Target.Waiters_.push_back(To);
   if (const CallerKey *Caller = std::get_if<CallerKey>(&To))
     Node.RequestOfCaller_[*Caller] = Existing;
@@ -162,7 +160,7 @@
   switch (Verdict) {
   case TicketVerdict::Start:
     log(Node, EventNumber::TicketStarted,
-        {{"ticket", Key}, {"request", textOf(Fresh.Id_)}});
+        {{"ticket", Key}, {"request", toString(Fresh.Id_)}});
     Fresh.Ticket_ = Value.Sequence_;
     adopt(Node, std::move(Fresh));
     return;
@@ -304,7 +302,7 @@
   Fresh.Service_ = serviceOf(Input.Request_.Target_);
   Fresh.Route_ = routeKeyOf(Input.Request_);
   log(Node, EventNumber::RequestReceived,
-      {{"request", textOf(Fresh.Id_)},
+      {{"request", toString(Fresh.Id_)},
        {"route", Fresh.Route_},
        {"from", Input.FromBackend_ ? "backend" : "caller"}});
   if (std::optional<ErrorCode> Why = phaseRefusal(Node, Input)) {
@@ -380,7 +378,7 @@
     setTimer(Node, ForgetDelay, TimerKind::RequestForget, Id.Value_);
     return;
   }
-  log(Node, EventNumber::RequestCancelled, {{"request", textOf(Id)}});
+  log(Node, EventNumber::RequestCancelled, {{"request", toString(Id)}});
   answer_system::finish(Node, Id, unknownOutcome(ErrorCode::Cancelled));
 }
 
--- a/src/engine/link_system.cpp
+++ b/src/engine/link_system.cpp
@@ -15,8 +15,6 @@
 constexpr Micros LeastBackoff = millis(100);
 constexpr Micros MostBackoff = millis(2000);
 
-std::string textOf(LinkId Id) { return std::to_string(Id.Value_); }
-
 // A link has one check timer that counts: the earliest one that was set.
 void armCheck(NodeState &Node, Link &Checked, Micros Delay) {
   TimePoint When = Node.Now_ + Delay;
@@ -39,7 +37,7 @@
   armCheck(Node, Stored, CheckInterval);
   Node.Peers_[Peer.Node_].Link_ = Fresh.Id_;
   log(Node, EventNumber::LinkOpened,
-      {{"link", textOf(Fresh.Id_)},
+      {{"link", toString(Fresh.Id_)},
        {"node", Peer.Node_},
        {"peer", toString(Peer.Peer_)}});
   act(Node, OpenLink{Fresh.Id_, Peer.Peer_});
@@ -111,7 +109,7 @@
 
 void shut(NodeState &Node, LinkId Target, std::string_view Why) {
   log(Node, EventNumber::LinkSilent,
-      {{"link", textOf(Target)}, {"why", std::string(Why)}});
+      {{"link", toString(Target)}, {"why", std::string(Why)}});
   act(Node, CloseLink{Target});
   onClosed(Node, Target);
 }
@@ -169,7 +167,7 @@
   if (!Anonymous)
     Node.Peers_[Opened.Node_].Backoff_ = Micros(0);
   log(Node, EventNumber::LinkUp,
-      {{"link", textOf(Input.Link_)},
+      {{"link", toString(Input.Link_)},
        {"node", Input.Node_},
        {"incarnation", std::to_string(Input.Incarnation_)}});
   if (Opened.WantsSync_) {
@@ -188,7 +186,7 @@
   Link Lost = Found->second;
   Node.Links_.erase(Found);
   log(Node, EventNumber::LinkDown,
-      {{"link", textOf(Target)},
+      {{"link", toString(Target)},
        {"node", Lost.Node_},
        {"attempts", std::to_string(Lost.Attempts_.size())}});
   if (!Lost.Node_.empty()) {
--- a/src/engine/owner_system.cpp
+++ b/src/engine/owner_system.cpp
@@ -1,5 +1,6 @@
 #include "fulmarshelf/detail/engine/answers.hpp" // notRun
 #include "fulmarshelf/detail/engine/systems.hpp" // owner_system
+#include "work_slots.hpp"                        // evict, stopRunning
 
 #include <algorithm> // max, min
 
@@ -10,24 +11,10 @@
 // Work waits for at most half of the time that it does not need for running,
 // so that the answer still finds its caller when running takes longer.
 constexpr std::int64_t WaitShare = 2;
-constexpr double LongSlotShare = 0.7;
-constexpr double KeptOverPeak = 1.5;
-constexpr double PeakDecay = 0.98;
-constexpr Micros ShortMemory = millis(1000);
-constexpr Micros SweepInterval = millis(5);
-constexpr Micros StartedWorkGrace = millis(60'000);
 constexpr std::uint16_t FirstFailureStatus = 500;
 constexpr Micros SuspectTime = millis(200);
 constexpr Micros MaxRetryAfter = millis(5000);
 
-std::string textOf(WorkId Id) { return std::to_string(Id.Value_); }
-
-bool isIdempotent(const Work &Target) { return Target.Context_.Idempotent_; }
-
-AdmissionLevel &levelOf(NodeState &Node, bool Long) {
-  return Long ? Node.LongLevel_ : Node.ShortLevel_;
-}
-
 void tellWaiters(NodeState &Node, Work &Ended, const CallReply &Reply) {
   for (const StreamKey &Stream : Ended.RevokeWaiters_) {
     bool Started = Reply.Outcome_ != Outcome::NotRun;
@@ -76,147 +63,6 @@
   return std::min(MaxRetryAfter, Wait * 2);
 }
 
-void evict(NodeState &Node, const QueuedWork &Item, ErrorCode Why) {
-  auto Found = Node.Works_.find(Item.Work_);
-  if (Found == Node.Works_.end())
-    return;
-  if (Why == ErrorCode::Shed)
-    levelOf(Node, Item.Long_).onEviction();
-  log(Node, EventNumber::WorkEvicted,
-      {{"work", textOf(Item.Work_)},
-       {"root", Found->second.Context_.Root_},
-       {"rank", std::to_string(Item.Rank_)},
-       {"error", std::string(errorName(Why))},
-       {"queued", std::to_string(Node.Queue_.size())},
-       {"limit", std::to_string(Node.Limit_.limit())}});
-  finish(Node, Item.Work_, notRun(Why, retryAfter(Node, Item.Rank_)));
-}
-
-HttpRequest requestForBackend(const NodeState &Node, const Work &Target) {
-  HttpRequest Sent = Target.Http_;
-  std::erase_if(Sent.Headers_, [](const Header &Field) {
-    return equalsIgnoreCase(Field.Name_, header::Parent) ||
-           equalsIgnoreCase(Field.Name_, header::DeadlineMs);
-  });
-  Micros Left = Target.Deadline_ - Node.Now_;
-  AttemptId Parent{ownName(Node), Node.Config_.Incarnation_, Target.Id_.Value_};
-  Sent.Headers_.push_back({std::string(header::Parent), toString(Parent)});
-  Sent.Headers_.push_back(
-      {std::string(header::DeadlineMs),
-       std::to_string(std::max<std::int64_t>(1, Left.count() / 1000))});
-  return Sent;
-}
-
-void dispatch(NodeState &Node, const QueuedWork &Item) {
-  Work &Target = Node.Works_.at(Item.Work_);
-  Target.State_ = WorkState::Running;
-  Target.Dispatched_ = Node.Now_;
-  ++Node.Running_;
-  if (Target.Long_)
-    ++Node.LongRunning_;
-  Node.ShortPeak_ = std::max(
-      Node.ShortPeak_, static_cast<double>(Node.Running_ - Node.LongRunning_));
-  levelOf(Node, Target.Long_).onStart();
-  Micros Waited = Node.Now_ - Target.Arrived_;
-  log(Node, EventNumber::WorkDispatched,
-      {{"work", textOf(Item.Work_)},
-       {"waited", std::to_string(Waited.count())},
-       {"running", std::to_string(Node.Running_)},
-       {"limit", std::to_string(Node.Limit_.limit())},
-       {"queued", std::to_string(Node.Queue_.size())}});
-  act(Node, Observe{Measure::QueueTime, Waited});
-  Micros Patience = std::max(Micros(0), Target.Deadline_ - Node.Now_);
-  if (!isIdempotent(Target))
-    Patience += StartedWorkGrace;
-  setTimer(Node, Patience, TimerKind::WorkDeadline, Item.Work_.Value_);
-  act(Node,
-      DispatchWork{Item.Work_, Node.Backend_.Announcement_.Address_,
-                   requestForBackend(Node, Target), !isIdempotent(Target)});
-}
-
-// Long work leaves some slots free for short work of at least its importance:
-// a little more than short work has used lately, up to a share of all.
-bool longAllowed(const NodeState &Node, unsigned Importance) {
-  bool ShortAround = false;
-  for (unsigned Level = Importance; Level < Node.ShortSeen_.size(); ++Level)
-    ShortAround =
-        ShortAround || (Node.ShortSeen_[Level] != TimePoint{} &&
-                        Node.Now_ - Node.ShortSeen_[Level] < ShortMemory);
-  if (!ShortAround)
-    return true;
-  unsigned Limit = Node.Limit_.limit();
-  auto MostKept = static_cast<unsigned>(Limit * (1 - LongSlotShare));
-  auto Wanted = static_cast<unsigned>(Node.ShortPeak_ * KeptOverPeak) + 1;
-  unsigned Kept = std::min(MostKept, Wanted);
-  return Node.LongRunning_ + Kept < std::max(Limit, Kept + 1);
-}
-
-void fillSlots(NodeState &Node) {
-  while (Node.Running_ < Node.Limit_.limit()) {
-    std::optional<QueuedWork> Next =
-        Node.Queue_.pop([&Node](unsigned Importance) {
-          return !hasFullPolicy(Node) || longAllowed(Node, Importance);
-        });
-    if (!Next)
-      return;
-    if (Next->StartBy_ < Node.Now_)
-      evict(Node, *Next, ErrorCode::Shed);
-    else
-      dispatch(Node, *Next);
-  }
-}
-
-// Running work that may be stopped for more important work, the least
-// important first.
-std::optional<WorkId> findPreemptible(const NodeState &Node,
-                                      unsigned Importance) {
-  std::optional<WorkId> Result;
-  Rank Lowest = UINT32_MAX;
-  for (const std::pair<const WorkId, Work> &Entry : Node.Works_) {
-    const Work &Target = Entry.second;
-    bool Lesser = importanceOf(Target.Context_.Rank_) < Importance;
-    if (Target.State_ != WorkState::Running || !isIdempotent(Target) ||
-        !Lesser || Target.Context_.Rank_ >= Lowest)
-      continue;
-    Lowest = Target.Context_.Rank_;
-    Result = Entry.first;
-  }
-  return Result;
-}
-
-void stopRunning(NodeState &Node, WorkId Id, ErrorCode Why) {
-  Work &Target = Node.Works_.at(Id);
-  log(Node, EventNumber::WorkCancelled,
-      {{"work", textOf(Id)}, {"error", std::string(errorName(Why))}});
-  freeSlot(Node, Target);
-  act(Node, CancelWork{Id});
-  finish(Node, Id, unknownOutcome(Why));
-}
-
-// Work that is about to miss its start takes the slot of lesser work.
-void preemptForUrgent(NodeState &Node) {
-  while (const QueuedWork *First = Node.Queue_.front()) {
-    QueuedWork Urgent = *First;
-    bool Late = Urgent.StartBy_ < Node.Now_;
-    if (Late || Urgent.StartBy_ > Node.Now_ + 2 * SweepInterval)
-      return;
-    std::optional<WorkId> Victim =
-        findPreemptible(Node, importanceOf(Urgent.Rank_));
-    if (!Victim)
-      return;
-    Node.Queue_.remove(Urgent.Work_);
-    stopRunning(Node, *Victim, ErrorCode::Shed);
-    dispatch(Node, Urgent);
-  }
-}
-
-void shedInfeasible(NodeState &Node) {
-  preemptForUrgent(Node);
-  for (const QueuedWork &Item :
-       Node.Queue_.evictInfeasible(Node.Now_, Node.Limit_.limit()))
-    evict(Node, Item, ErrorCode::Shed);
-}
-
 std::optional<ErrorCode> refusalNow(const NodeState &Node) {
   if (Node.Phase_ == NodePhase::Leaving)
     return ErrorCode::Leaving;
@@ -287,6 +133,37 @@
 
 } // namespace
 
+bool isIdempotent(const Work &Target) { return Target.Context_.Idempotent_; }
+
+AdmissionLevel &levelOf(NodeState &Node, bool Long) {
+  return Long ? Node.LongLevel_ : Node.ShortLevel_;
+}
+
+void evict(NodeState &Node, const QueuedWork &Item, ErrorCode Why) {
+  auto Found = Node.Works_.find(Item.Work_);
+  if (Found == Node.Works_.end())
+    return;
+  if (Why == ErrorCode::Shed)
+    levelOf(Node, Item.Long_).onEviction();
+  log(Node, EventNumber::WorkEvicted,
+      {{"work", toString(Item.Work_)},
+       {"root", Found->second.Context_.Root_},
+       {"rank", std::to_string(Item.Rank_)},
+       {"error", std::string(errorName(Why))},
+       {"queued", std::to_string(Node.Queue_.size())},
+       {"limit", std::to_string(Node.Limit_.limit())}});
+  finish(Node, Item.Work_, notRun(Why, retryAfter(Node, Item.Rank_)));
+}
+
+void stopRunning(NodeState &Node, WorkId Id, ErrorCode Why) {
+  Work &Target = Node.Works_.at(Id);
+  log(Node, EventNumber::WorkCancelled,
+      {{"work", toString(Id)}, {"error", std::string(errorName(Why))}});
+  freeSlot(Node, Target);
+  act(Node, CancelWork{Id});
+  finish(Node, Id, unknownOutcome(Why));
+}
+
 Rank admissionLevel(const NodeState &Node, bool Long) {
   return Long ? Node.LongLevel_.level() : Node.ShortLevel_.level();
 }
@@ -335,7 +212,7 @@
   noteShortWork(Node, Fresh);
   levelOf(Node, Fresh.Long_).onArrival(Item.Rank_);
   log(Node, EventNumber::WorkQueued,
-      {{"work", textOf(Fresh.Id_)},
+      {{"work", toString(Fresh.Id_)},
        {"attempt", toString(Attempt)},
        {"root", Context.Root_},
        {"rank", std::to_string(Item.Rank_)},
@@ -350,40 +227,6 @@
   runQueue(Node);
 }
 
-void runQueue(NodeState &Node) {
-  fillSlots(Node);
-  if (Node.Queue_.empty())
-    return;
-  if (hasFullPolicy(Node))
-    shedInfeasible(Node);
-  if (!Node.Queue_.empty() && !Node.SweepTimerSet_) {
-    Node.SweepTimerSet_ = true;
-    setTimer(Node, SweepInterval, TimerKind::QueueSweep);
-  }
-  if (!Node.LevelTimerSet_) {
-    Node.LevelTimerSet_ = true;
-    setTimer(Node, AdmissionLevel::Window, TimerKind::LevelWindow);
-  }
-}
-
-void onLevelWindow(NodeState &Node) {
-  Node.LevelTimerSet_ = false;
-  Node.ShortPeak_ *= PeakDecay;
-  bool ShortChanged = Node.ShortLevel_.update(Node.Now_);
-  bool LongChanged = Node.LongLevel_.update(Node.Now_);
-  if (ShortChanged || LongChanged)
-    log(Node, EventNumber::LevelChanged,
-        {{"short", std::to_string(Node.ShortLevel_.level())},
-         {"long", std::to_string(Node.LongLevel_.level())},
-         {"queued", std::to_string(Node.Queue_.size())},
-         {"limit", std::to_string(Node.Limit_.limit())}});
-  bool Open = Node.ShortLevel_.level() == 0 && Node.LongLevel_.level() == 0;
-  if (Open && Node.Queue_.empty())
-    return;
-  Node.LevelTimerSet_ = true;
-  setTimer(Node, AdmissionLevel::Window, TimerKind::LevelWindow);
-}
-
 void onAnswer(NodeState &Node, WorkId Id, const HttpResponse &Response) {
   auto Found = Node.Works_.find(Id);
   if (Found == Node.Works_.end())
@@ -405,7 +248,7 @@
   }
   act(Node, Observe{Measure::ServiceTime, Took});
   log(Node, EventNumber::WorkFinished,
-      {{"work", textOf(Id)},
+      {{"work", toString(Id)},
        {"status", std::to_string(Response.Status_)},
        {"shed", Shed ? "yes" : "no"},
        {"took", std::to_string(Took.count())},
@@ -428,7 +271,7 @@
   if (NeverSent)
     Node.Backend_.SuspectUntil_ = Node.Now_ + SuspectTime;
   log(Node, EventNumber::WorkFinished,
-      {{"work", textOf(Id)},
+      {{"work", toString(Id)},
        {"status", "none"},
        {"sent", NeverSent ? "no" : "yes"}});
   finish(Node, Id,
@@ -453,7 +296,7 @@
   if (Target.State_ == WorkState::Queued) {
     Node.Queue_.remove(Id);
     log(Node, EventNumber::WorkCancelled,
-        {{"work", textOf(Id)}, {"error", "cancelled"}});
+        {{"work", toString(Id)}, {"error", "cancelled"}});
     finish(Node, Id, notRun(ErrorCode::Cancelled));
     return true;
   }
@@ -490,7 +333,7 @@
       Node.Ledger_.fence(Message.Attempt_, Message.Link_);
       Node.Works_.at(Id).RevokeWaiters_.push_back(Input.Stream_);
       log(Node, EventNumber::RevokeServed,
-          {{"attempt", toString(Message.Attempt_)}, {"work", textOf(Id)}});
+          {{"attempt", toString(Message.Attempt_)}, {"work", toString(Id)}});
       if (Node.Works_.at(Id).State_ == WorkState::Queued)
         cancel(Node, Id);
       return;
@@ -503,10 +346,4 @@
   act(Node, AnswerRevoke{Input.Stream_, Answer});
 }
 
-void refuseQueued(NodeState &Node, ErrorCode Why) {
-  while (std::optional<QueuedWork> Item =
-             Node.Queue_.pop([](unsigned) { return true; }))
-    evict(Node, *Item, Why);
-}
-
 } // namespace fulmarshelf::owner_system
--- a/src/routing/owner_choice.cpp
+++ b/src/routing/owner_choice.cpp
@@ -13,6 +13,9 @@
 constexpr double AbandonedFactor = 2;
 constexpr double SlownessHalfLifeMicros = 2e6;
 constexpr Micros LevelLifetime = millis(1000);
+// Longer than the membership takes to tell of it; an owner that serves again
+// must not be passed over for ever.
+constexpr Micros LeavingLifetime = millis(3000);
 constexpr Micros ProbeInterval = millis(50);
 constexpr std::size_t MaxLevels = 256;
 
@@ -41,6 +44,7 @@
 void OwnerView::onReport(TimePoint Now, const std::string &Route,
                          const LoadReport &Report) {
   Report_ = Report;
+  ReportedAt_ = Now;
   if (Levels_.size() >= MaxLevels && !Levels_.contains(Route))
     return;
   RouteLevel &Entry = Levels_[Route];
@@ -53,6 +57,10 @@
   return 1 + (Slowness_ - 1) * std::exp2(-Age / SlownessHalfLifeMicros);
 }
 
+bool OwnerView::isLeaving(TimePoint Now) const {
+  return Report_.Leaving_ && Now - ReportedAt_ < LeavingLifetime;
+}
+
 Rank OwnerView::level(TimePoint Now, const std::string &Route) const {
   auto Found = Levels_.find(Route);
   if (Found == Levels_.end() || Now - Found->second.Heard_ > LevelLifetime)
--- a/tests/unit/routing_test.cpp
+++ b/tests/unit/routing_test.cpp
@@ -145,3 +145,12 @@
   CHECK(View.slowness(Zero) >= Before);
   CHECK(View.inFlight() == 0);
 }
+
+TEST(OwnerChoice, LeavingIsForgottenSoThatAnOwnerCanComeBack) {
+  OwnerView View;
+  LoadReport Report;
+  Report.Leaving_ = true;
+  View.onReport(Zero, "GET /a", Report);
+  CHECK(View.isLeaving(Zero + millis(1000)));
+  CHECK_FALSE(View.isLeaving(Zero + millis(3500)));
+}
