--- a/src/shell/metrics.cpp
+++ b/src/shell/metrics.cpp
@@ -8,6 +8,7 @@
 
 #include <array>   // array
 #include <sstream> // ostringstream
+#include <vector>  // vector
 
 namespace fulmarshelf {
 
@@ -40,11 +41,17 @@
      {Measure::ServiceTime, "fulmarshelf_service_seconds",
       "Time that the backend server took"}}};
 
-void writeValue(std::ostringstream &Out, const char *Name, const char *Type,
-                const char *Help, double Value) {
-  Out << "# HELP " << Name << ' ' << Help << "\n# TYPE " << Name << ' ' << Type
-      << '\n'
-      << Name << ' ' << Value << '\n';
+struct NamedValue {
+  const char *Name_;
+  const char *Type_;
+  const char *Help_;
+  double Value_;
+};
+
+void writeValue(std::ostringstream &Out, const NamedValue &Entry) {
+  Out << "# HELP " << Entry.Name_ << ' ' << Entry.Help_ << "\n# TYPE "
+      << Entry.Name_ << ' ' << Entry.Type_ << '\n'
+      << Entry.Name_ << ' ' << Entry.Value_ << '\n';
 }
 
 std::size_t indexOf(Measure Value) { return static_cast<std::size_t>(Value); }
@@ -88,41 +95,42 @@
     Out << "fulmarshelf_events_total{event=\""
         << static_cast<unsigned>(Entry.first) << "\",name=\""
         << eventName(Entry.first) << "\"} " << Entry.second << '\n';
-  writeValue(Out, "fulmarshelf_limit", "gauge",
-             "Calls that the backend server may run at a time",
-             Node.Limit_.limit());
-  writeValue(Out, "fulmarshelf_running", "gauge", "Calls that run now",
-             Node.Running_);
-  writeValue(Out, "fulmarshelf_queued", "gauge", "Work that waits for a slot",
-             static_cast<double>(Node.Queue_.size()));
-  writeValue(Out, "fulmarshelf_level", "gauge",
-             "Lowest rank that is admitted now", Node.ShortLevel_.level());
-  writeValue(Out, "fulmarshelf_long_level", "gauge",
-             "Lowest rank of long work that is admitted now",
-             Node.LongLevel_.level());
-  writeValue(Out, "fulmarshelf_members", "gauge", "Other nodes in use",
-             static_cast<double>(Node.Membership_.usable().size()));
-  writeValue(Out, "fulmarshelf_datagrams_sent_total", "counter",
-             "Gossip datagrams sent",
-             static_cast<double>(Counts.DatagramsSent_));
-  writeValue(Out, "fulmarshelf_datagram_bytes_sent_total", "counter",
-             "Gossip bytes sent",
-             static_cast<double>(Counts.DatagramBytesSent_));
-  writeValue(Out, "fulmarshelf_datagrams_received_total", "counter",
-             "Gossip datagrams received",
-             static_cast<double>(Counts.DatagramsReceived_));
-  writeValue(Out, "fulmarshelf_datagram_bytes_received_total", "counter",
-             "Gossip bytes received",
-             static_cast<double>(Counts.DatagramBytesReceived_));
-  writeValue(Out, "fulmarshelf_peer_control_bytes_total", "counter",
-             "Bytes of greetings, revocations and syncs",
-             static_cast<double>(Counts.PeerControlBytes_));
-  writeValue(Out, "fulmarshelf_platform_calls_total", "counter",
-             "Calls to the platform's object API",
-             static_cast<double>(Counts.PlatformCalls_));
-  writeValue(Out, "fulmarshelf_caller_connections", "gauge",
-             "Connections of outside callers",
-             static_cast<double>(Counts.CallerConnections_));
+  const std::vector<NamedValue> Values = {
+      {"fulmarshelf_limit", "gauge",
+       "Calls that the backend server may run at a time",
+       static_cast<double>(Node.Limit_.limit())},
+      {"fulmarshelf_running", "gauge", "Calls that run now",
+       static_cast<double>(Node.Running_)},
+      {"fulmarshelf_queued", "gauge", "Work that waits for a slot",
+       static_cast<double>(Node.Queue_.size())},
+      {"fulmarshelf_level", "gauge", "Lowest rank that is admitted now",
+       static_cast<double>(Node.ShortLevel_.level())},
+      {"fulmarshelf_long_level", "gauge",
+       "Lowest rank of long work that is admitted now",
+       static_cast<double>(Node.LongLevel_.level())},
+      {"fulmarshelf_members", "gauge", "Other nodes in use",
+       static_cast<double>(Node.Membership_.usable().size())},
+      {"fulmarshelf_datagrams_sent_total", "counter", "Gossip datagrams sent",
+       static_cast<double>(Counts.DatagramsSent_)},
+      {"fulmarshelf_datagram_bytes_sent_total", "counter", "Gossip bytes sent",
+       static_cast<double>(Counts.DatagramBytesSent_)},
+      {"fulmarshelf_datagrams_received_total", "counter",
+       "Gossip datagrams received",
+       static_cast<double>(Counts.DatagramsReceived_)},
+      {"fulmarshelf_datagram_bytes_received_total", "counter",
+       "Gossip bytes received",
+       static_cast<double>(Counts.DatagramBytesReceived_)},
+      {"fulmarshelf_peer_control_bytes_total", "counter",
+       "Bytes of greetings, revocations and syncs",
+       static_cast<double>(Counts.PeerControlBytes_)},
+      {"fulmarshelf_platform_calls_total", "counter",
+       "Calls to the platform's object API",
+       static_cast<double>(Counts.PlatformCalls_)},
+      {"fulmarshelf_caller_connections", "gauge",
+       "Connections of outside callers",
+       static_cast<double>(Counts.CallerConnections_)}};
+  for (const NamedValue &Entry : Values)
+    writeValue(Out, Entry);
   return Out.str();
 }
 
