--- a/include/fulmarshelf/detail/base/error.hpp
+++ b/include/fulmarshelf/detail/base/error.hpp
@@ -47,6 +47,9 @@
   WrongIncarnation = 318,
   BackendFailed = 319,
   LinkFailed = 320,
+  BackendRefused = 321,
+  BackendReplaced = 322,
+  HeaderTooLarge = 323,
 };
 
 /// @brief Stable name of an error, such as `bad-value`; O(1).
--- a/include/fulmarshelf/detail/engine/actions.hpp
+++ b/include/fulmarshelf/detail/engine/actions.hpp
@@ -4,6 +4,7 @@
 #include "fulmarshelf/detail/base/event_log.hpp"            // LogRecord
 #include "fulmarshelf/detail/base/ids.hpp"                  // ids
 #include "fulmarshelf/detail/base/time.hpp"                 // Micros
+#include "fulmarshelf/detail/engine/inputs.hpp"             // Collection
 #include "fulmarshelf/detail/membership/gossip_message.hpp" // SyncMessage
 #include "fulmarshelf/detail/wire/messages.hpp"             // CallMessage
 
@@ -16,7 +17,9 @@
 /// @brief Answer a caller.
 struct AnswerCaller {
   CallerKey Caller_;
-  HttpResponse Response_;
+  CallReply Reply_;
+  std::string Ticket_;          ///< fresh ticket to offer; empty: none
+  std::string CallerRequestId_; ///< the caller's own id; empty: none
 };
 
 /// @brief Open a connection to a peer.
@@ -82,6 +85,7 @@
   WorkId Work_;
   Endpoint Backend_;
   HttpRequest Request_;
+  DispatchFacts Facts_;
   bool FreshConnection_ = false; ///< a kept one could have been closed just now
 };
 
@@ -96,14 +100,17 @@
   std::string Bytes_;
 };
 
-/// @brief Read all settings from the platform.
-struct StoreList {};
+/// @brief Read all settings of one kind from the store.
+struct StoreList {
+  Collection Collection_ = Collection::Teams;
+};
 
 /// @brief Read the addresses of all nodes from the platform.
 struct StoreListNodes {};
 
 /// @brief Wait for changes of settings after a revision.
 struct StoreWatch {
+  Collection Collection_ = Collection::Teams;
   std::uint64_t Since_ = 0;
 };
 
--- a/include/fulmarshelf/detail/engine/inputs.hpp
+++ b/include/fulmarshelf/detail/engine/inputs.hpp
@@ -7,8 +7,10 @@
 #include "fulmarshelf/detail/wire/http.hpp"                 // HttpRequest
 #include "fulmarshelf/detail/wire/messages.hpp"             // CallMessage
 
-#include <cstdint> // uint64_t
-#include <string>  // string
+#include <cstdint>     // uint64_t
+#include <optional>    // optional
+#include <string>      // string
+#include <string_view> // string_view
 #include <variant> // variant
 #include <vector>  // vector
 
@@ -18,7 +20,7 @@
 struct CallerArrived {
   CallerKey Caller_;
   bool FromBackend_ = false; ///< came from this VM's own backend server
-  HttpRequest Request_;
+  IncomingRequest Request_;
 };
 
 /// @brief The caller closed its connection before the answer.
@@ -96,25 +98,43 @@
 /// @brief State that a backend server tells of itself.
 enum class BackendState : std::uint8_t { Serving, Draining };
 
-/// @brief A backend server's announcement, repeated every second.
+/// @brief A backend server's announcement, repeated every second or so.
 struct Announcement {
   std::string Service_;
   Endpoint Address_;
   unsigned Slots_ = 0;       ///< calls that it runs at a time
   unsigned Connections_ = 0; ///< connections that it accepts
   BackendState State_ = BackendState::Serving;
+  std::string Instance_; ///< names the incarnation; empty: it tells none
   friend bool operator==(const Announcement &, const Announcement &) = default;
 };
 
+/// @brief Place of an announcement among all of one VM's backend servers; a
+/// later one replaces what an earlier one said, in whichever order they come.
+struct AnnouncementOrder {
+  std::uint64_t BornMs_ = 0;   ///< start of the incarnation, ms since 1970
+  std::uint64_t Sequence_ = 0; ///< rises with each announcement
+  friend auto operator<=>(const AnnouncementOrder &,
+                          const AnnouncementOrder &) = default;
+};
+
 /// @brief The backend server announced itself.
 struct BackendAnnounced {
   Announcement Announcement_;
+  std::optional<AnnouncementOrder> Order_; ///< none: in order of arrival
+  Micros ColdFor_{0}; ///< it says that it stays slow for so long
+};
+
+/// @brief The backend server said that it leaves for good.
+struct BackendDeparted {
+  std::string Instance_;
 };
 
 /// @brief The backend server answered.
 struct BackendAnswered {
   WorkId Work_;
   HttpResponse Response_;
+  AnswerFacts Facts_;
 };
 
 /// @brief The backend server did not answer.
@@ -136,8 +156,15 @@
   friend bool operator==(const NodeSeed &, const NodeSeed &) = default;
 };
 
-/// @brief All settings that the platform holds.
+/// @brief Kinds of settings that lie in the store.
+enum class Collection : std::uint8_t { Teams, Routes };
+
+/// @brief `teams` or `routes`.
+std::string_view collectionName(Collection Value);
+
+/// @brief All settings of one kind that the store holds.
 struct StoreListed {
+  Collection Collection_ = Collection::Teams;
   std::uint64_t Revision_ = 0;
   std::vector<SubtreeVersion> Subtrees_;
 };
@@ -149,6 +176,7 @@
 
 /// @brief Changes after the revision that a watch began at.
 struct StoreWatched {
+  Collection Collection_ = Collection::Teams;
   std::uint64_t Revision_ = 0;
   std::vector<SubtreeVersion> Changes_;
 };
@@ -156,9 +184,23 @@
 /// @brief This node's own address is written.
 struct StoreAnnounced {};
 
-/// @brief A call to the platform failed; its effect is not known.
+/// @brief A settings object that cannot be read; what is in force stays.
+struct StoreUnreadable {
+  Collection Collection_ = Collection::Teams;
+  std::uint64_t Revision_ = 0; ///< of the store when it was read
+  std::string Detail_;
+};
+
+/// @brief Calls to the store.
+enum class StoreCall : std::uint8_t { List, Watch, Nodes, Announce, Withdraw };
+
+/// @brief `list`, `watch`, `nodes`, `announce` or `withdraw`.
+std::string_view storeCallName(StoreCall Value);
+
+/// @brief A call to the store failed; its effect is not known.
 struct StoreFailed {
-  std::string Call_; ///< `list`, `nodes`, `watch`, `announce`, `withdraw`
+  StoreCall Call_ = StoreCall::List;
+  Collection Collection_ = Collection::Teams; ///< of a list or a watch
 };
 
 /// @brief The process was asked to stop.
@@ -169,9 +211,10 @@
     std::variant<CallerArrived, CallerGone, CallArrived, CallDropped,
                  ReplyArrived, AttemptLost, RevokeArrived, RevokeAnswered,
                  SyncArrived, SyncAnswered, LinkEstablished, LinkClosed,
-                 LinkHeard, BackendAnnounced, BackendAnswered, BackendFailed,
-                 DatagramArrived, StoreListed, StoreNodesListed, StoreWatched,
-                 StoreAnnounced, StoreFailed, LeaveRequested>;
+                 LinkHeard, BackendAnnounced, BackendDeparted, BackendAnswered,
+                 BackendFailed, DatagramArrived, StoreListed, StoreUnreadable,
+                 StoreNodesListed, StoreWatched, StoreAnnounced, StoreFailed,
+                 LeaveRequested>;
 
 } // namespace fulmarshelf
 
--- a/include/fulmarshelf/detail/engine/node_state.hpp
+++ b/include/fulmarshelf/detail/engine/node_state.hpp
@@ -10,6 +10,7 @@
 #include "fulmarshelf/detail/retry/retry_budget.hpp"          // RetryBudget
 #include "fulmarshelf/detail/revocation/attempt_ledger.hpp"   // AttemptLedger
 #include "fulmarshelf/detail/routing/service_index.hpp"       // ServiceIndex
+#include "fulmarshelf/detail/routing/split_counter.hpp"       // SplitCounter
 #include "fulmarshelf/detail/routing/service_times.hpp"       // ServiceTimes
 #include "fulmarshelf/detail/settings/registry.hpp"           // registry
 #include "fulmarshelf/detail/ticket/ticket_book.hpp"          // TicketBook
@@ -43,16 +44,23 @@
   std::uint64_t Shed_ = 0;
 };
 
-/// @brief Progress of getting settings and of the standing watch.
-struct SettingsSync {
+/// @brief Progress of following one kind of settings in the store.
+struct CollectionSync {
   bool ListOpen_ = false;
   bool WatchOpen_ = false;
+  bool Listed_ = false;
+  std::uint64_t Revision_ = 0; ///< of the store, up to which all is known
+  TimePoint NextTry_;
+  Micros Backoff_{0};
+};
+
+/// @brief Progress of getting settings and addresses.
+struct SettingsSync {
+  std::map<Collection, CollectionSync> Collections_;
   bool AnnounceOpen_ = false;
   bool Announced_ = false;
   bool NodesOpen_ = false;
-  bool Listed_ = false;
-  std::uint64_t Revision_ = 0;
-  TimePoint NextStoreTry_;
+  TimePoint NextStoreTry_; ///< of the calls about addresses
   Micros StoreBackoff_{0};
   std::vector<Endpoint> Seeds_; ///< from the node's settings
   std::size_t NextSeed_ = 0;
@@ -62,6 +70,7 @@
   TimePoint NextDigestSync_;
   TimePoint NextMemberSync_;
   std::map<std::string, std::uint64_t> Rejected_; ///< faulty versions
+  std::string Unreadable_; ///< why the newest routes cannot be read
   std::vector<SettingsVersion> News_; ///< told to some members again
   unsigned NewsRounds_ = 0;
 };
@@ -90,6 +99,7 @@
   std::unordered_map<std::string, PeerView> Peers_;
   std::unordered_map<std::string, RetryBudget> Budgets_;
   std::unordered_map<std::string, std::size_t> RoundRobin_;
+  std::unordered_map<std::string, SplitCounter> Splits_; ///< by route
   Backend Backend_;
 
   SettingsRegistry Settings_;
@@ -111,6 +121,8 @@
   double ShortPeak_ = 0; ///< most short work that ran at a time, lately
   bool LevelTimerSet_ = false;
   bool SweepTimerSet_ = false;
+  TimePoint LeaveBegan_;  ///< when the process was asked to stop
+  TimePoint LastArrival_; ///< of a caller's request
 
   std::uint64_t LastRequest_ = 0;
   std::uint64_t LastAttempt_ = 0;
@@ -132,6 +144,9 @@
 /// @brief True when the node runs all overload decisions.
 bool hasFullPolicy(const NodeState &Node);
 
+/// @brief True when requests are matched against the route table.
+bool hasRouteTable(const NodeState &Node);
+
 /// @brief This node's name.
 const std::string &ownName(const NodeState &Node);
 
--- a/include/fulmarshelf/detail/engine/systems.hpp
+++ b/include/fulmarshelf/detail/engine/systems.hpp
@@ -50,7 +50,8 @@
 void detach(NodeState &Node, RequestId Request, const CallReply &Reply);
 /// @brief Answers one waiter of a request that has no entry in the tables.
 void answer(NodeState &Node, const Waiter &To, const CallReply &Reply,
-            const std::string &FreshTicket = {});
+            const std::string &FreshTicket = {},
+            const std::string &CallerRequestId = {});
 } // namespace answer_system
 
 /// @brief Admits, queues and dispatches work to the own backend server.
@@ -60,7 +61,7 @@
 void admit(NodeState &Node, const AttemptId &Attempt, WorkWaiter Waiter,
            const CallContext &Context, const HttpRequest &Http);
 void runQueue(NodeState &Node);
-void onAnswer(NodeState &Node, WorkId Target, const HttpResponse &Response);
+void onAnswer(NodeState &Node, const BackendAnswered &Input);
 void onFailure(NodeState &Node, WorkId Target, bool NeverSent);
 void onDeadline(NodeState &Node, WorkId Target);
 /// @brief Stops work whose answer is not wanted.
@@ -82,7 +83,12 @@
 
 /// @brief Keeps the table of the own backend server.
 namespace backend_system {
-void announce(NodeState &Node, const Announcement &Input);
+void announce(NodeState &Node, const BackendAnnounced &Input);
+/// @brief The backend server leaves; it gets no new work.
+void depart(NodeState &Node, const BackendDeparted &Input);
+/// @brief Another incarnation answered at the address; it gets no work before
+/// it has announced itself.
+void onOtherInstance(NodeState &Node);
 void check(NodeState &Node);
 /// @brief True when the backend server takes new work.
 bool isServing(const NodeState &Node);
@@ -122,7 +128,8 @@
 void onNodesListed(NodeState &Node, const StoreNodesListed &Input);
 void onAnnounced(NodeState &Node);
 void onWatched(NodeState &Node, const StoreWatched &Input);
-void onFailed(NodeState &Node, const std::string &Call);
+void onFailed(NodeState &Node, const StoreFailed &Input);
+void onUnreadable(NodeState &Node, const StoreUnreadable &Input);
 void onSyncArrived(NodeState &Node, const SyncArrived &Input);
 void onSyncAnswered(NodeState &Node, const SyncAnswered &Input);
 /// @brief A peer told of versions and of the digest of all of its own.
--- a/include/fulmarshelf/detail/engine/tables.hpp
+++ b/include/fulmarshelf/detail/engine/tables.hpp
@@ -9,6 +9,7 @@
 
 #include <cstdint> // uint64_t
 #include <map>     // map
+#include <optional> // optional
 #include <set>     // set
 #include <string>  // string
 #include <variant> // variant
@@ -25,6 +26,7 @@
   RequestId Id_;
   std::vector<Waiter> Waiters_;
   HttpRequest Http_;
+  RequestFacts Facts_;
   CallContext Context_; ///< Tokens_ are those left for this request
   std::string Service_;
   std::string Route_;
@@ -105,6 +107,10 @@
 struct Backend {
   bool Known_ = false;
   Announcement Announcement_;
+  std::optional<AnnouncementOrder> Order_; ///< of the last announcement
+  std::string Departed_; ///< incarnation that said it leaves for good
+  TimePoint ColdUntil_;  ///< it says that it is slow so long
+  bool ReplacedUnseen_ = false; ///< another incarnation has its address
   TimePoint Heard_;
   TimePoint SuspectUntil_; ///< it refused a connection
 };
--- /dev/null
+++ b/include/fulmarshelf/detail/routing/split_counter.hpp
@@ -0,0 +1,30 @@
+#ifndef FULMARSHELF_DETAIL_ROUTING_SPLIT_COUNTER_HPP
+#define FULMARSHELF_DETAIL_ROUTING_SPLIT_COUNTER_HPP
+
+#include "fulmarshelf/detail/settings/route_table.hpp" // ServiceShare
+
+#include <cstdint>       // int64_t
+#include <string>        // string
+#include <unordered_map> // unordered_map
+#include <vector>        // vector
+
+namespace fulmarshelf {
+
+/// @brief Deals the requests of one route to its services by their weights
+/// (smooth weighted round robin).
+///
+/// After any number of requests no service is further than one request away
+/// from its share, which a random choice would not give.
+class SplitCounter {
+public:
+  /// @brief Service that takes the next request; O(services of the route).
+  /// @param Shares the route's services, at least one of a weight above 0
+  std::string next(const std::vector<ServiceShare> &Shares);
+
+private:
+  std::unordered_map<std::string, std::int64_t> Credits_;
+};
+
+} // namespace fulmarshelf
+
+#endif
--- a/include/fulmarshelf/detail/settings/key_reader.hpp
+++ b/include/fulmarshelf/detail/settings/key_reader.hpp
@@ -30,6 +30,11 @@
   /// @brief Duration given in milliseconds.
   std::optional<Micros> duration(const std::string &Key, std::uint64_t LeastMs,
                                  std::uint64_t MostMs);
+  /// @brief Number with a fraction, 0 or above; an empty value counts as left
+  /// out.
+  std::optional<double> real(const std::string &Key);
+  /// @brief Duration given in seconds; an empty value counts as left out.
+  std::optional<Micros> seconds(const std::string &Key);
   /// @brief `yes` or `no`.
   std::optional<bool> flag(const std::string &Key);
   /// @brief Any text that is not empty.
--- a/include/fulmarshelf/detail/settings/node_settings.hpp
+++ b/include/fulmarshelf/detail/settings/node_settings.hpp
@@ -2,6 +2,7 @@
 #define FULMARSHELF_DETAIL_SETTINGS_NODE_SETTINGS_HPP
 
 #include "fulmarshelf/detail/base/error.hpp" // Checked
+#include "fulmarshelf/detail/base/time.hpp"  // Micros
 
 #include <cstdint> // uint16_t
 #include <string>  // string
@@ -30,6 +31,21 @@
   Baseline, ///< first in first out, round robin, three tries at each hop
 };
 
+/// @brief Whose HTTP the node speaks with callers and its backend server.
+enum class InterfaceKind : std::uint8_t {
+  Own,      ///< the project's, docs/HTTP.md
+  Platform, ///< the users' platform's, with a route table
+};
+
+/// @brief Bounds that the users' platform sets for the whole mesh.
+struct MeshBounds {
+  Micros GraceTime_ = millis(6000);     ///< from the stop signal to the kill
+  double RepeatRatio_ = 0.2;            ///< repeats for each request
+  Micros RepeatWindow_ = millis(10'000); ///< over which they are counted
+  double RepeatSlack_ = 40;             ///< repeats beyond the ratio
+  friend bool operator==(const MeshBounds &, const MeshBounds &) = default;
+};
+
 /// @brief How much the node writes to its log.
 enum class LogLevel : std::uint8_t { Decisions, Changes, Quiet };
 
@@ -45,7 +61,12 @@
   Endpoint OperatorAddress_;    ///< metrics and status, HTTP/1.1
   Endpoint Platform_;           ///< the platform's object API
   std::vector<Endpoint> Seeds_; ///< peers to ask when the platform is down
-  std::string LogFile_;         ///< empty: standard error
+  InterfaceKind Interface_ = InterfaceKind::Own;
+  std::string Service_;    ///< of this VM's backend server; empty: it tells
+  Endpoint Backend_;       ///< this VM's backend server, when settings tell
+  Endpoint MetricsAddress_; ///< a second address for metrics; port 0: none
+  MeshBounds Bounds_;
+  std::string LogFile_; ///< empty: standard output
   LogLevel LogLevel_ = LogLevel::Decisions;
   PolicyMode Policy_ = PolicyMode::Full;
   friend bool operator==(const NodeSettings &, const NodeSettings &) = default;
--- a/include/fulmarshelf/detail/settings/registry.hpp
+++ b/include/fulmarshelf/detail/settings/registry.hpp
@@ -1,10 +1,12 @@
 #ifndef FULMARSHELF_DETAIL_SETTINGS_REGISTRY_HPP
 #define FULMARSHELF_DETAIL_SETTINGS_REGISTRY_HPP
 
+#include "fulmarshelf/detail/settings/route_table.hpp"   // RouteTable
 #include "fulmarshelf/detail/settings/team_settings.hpp" // TeamSettings
 
 #include <cstdint> // uint64_t
 #include <map>     // map
+#include <optional> // optional
 #include <string>  // string
 #include <vector>  // vector
 
@@ -21,6 +23,10 @@
                          const SubtreeVersion &) = default;
 };
 
+/// @brief Path of the route table among the subtrees. Paths of teams begin with
+/// a slash, so none of them can be the same.
+inline constexpr std::string_view RouteTablePath = "routes";
+
 /// @brief What is in force for one request.
 struct EffectiveRules {
   std::string Team_;          ///< path of the subtree
@@ -31,6 +37,7 @@
   std::uint32_t Retries_ = 0;
   std::uint64_t MaxBody_ = 0;
   unsigned RetryShare_ = 0;
+  Micros Target_{0}; ///< a good answer comes within it; 0: no such aim
   friend bool operator==(const EffectiveRules &,
                          const EffectiveRules &) = default;
 };
@@ -70,6 +77,17 @@
                                           std::string_view Path,
                                           const std::string &Caller) const;
 
+  /// @brief The route table in force, nullptr when none was ever seen.
+  const RouteTable *routes() const {
+    return Routes_ ? &*Routes_ : nullptr;
+  }
+
+  /// @brief Rules for a request that a route matched: those of the route, which
+  /// the settings of the service's team overlay.
+  EffectiveRules effective(const Route &Matched, const std::string &Service,
+                           const std::string &Method, std::string_view Path,
+                           const std::string &Caller) const;
+
   /// @brief Path of the team that has a service, empty when none does.
   std::string teamOf(const std::string &Service) const;
 
@@ -83,13 +101,16 @@
 
   std::map<std::string, Subtree> Subtrees_;
   std::map<std::string, std::string> TeamOfService_;
+  std::optional<RouteTable> Routes_;
   std::uint64_t Digest_ = 0;
 };
 
 /// @brief Rules of one team for one request.
+/// @param Base values that hold where the team sets none
 /// @param Settings the team's settings
 /// @return values with the built-in defaults filled in
-EffectiveRules effectiveRules(const TeamSettings &Settings,
+EffectiveRules effectiveRules(const CallRules &Base,
+                              const TeamSettings &Settings,
                               const std::string &Service,
                               const std::string &Method, std::string_view Path,
                               const std::string &Caller);
--- a/include/fulmarshelf/detail/shell/http1_session.hpp
+++ b/include/fulmarshelf/detail/shell/http1_session.hpp
@@ -3,8 +3,10 @@
 
 #include "fulmarshelf/detail/wire/http.hpp" // HttpRequest, HttpResponse
 
+#include <chrono>      // milliseconds
 #include <cstdint>     // uint64_t
 #include <memory>      // unique_ptr
+#include <optional>    // optional
 #include <string>      // string
 #include <string_view> // string_view
 #include <vector>      // vector
@@ -34,6 +36,12 @@
   /// @return false when there is none, or one is still unanswered
   bool nextRequest(HttpRequest &Result);
 
+  /// @brief Bounds of requests that begin from now on.
+  void setLimits(const HttpLimits &Limits);
+
+  /// @brief Announces the end of the connection with the next answer.
+  void closeAfterAnswer();
+
   /// @brief Answers the request that was taken last.
   void respond(const HttpResponse &Response);
 
@@ -44,6 +52,9 @@
   /// asked for it, or sent something that is not HTTP.
   bool wantsClose() const;
 
+  /// @brief True when bytes of a request that is not whole are here.
+  bool isReading() const;
+
   /// @brief True while a request was taken and not answered.
   bool isBusy() const;
 
@@ -74,6 +85,14 @@
   /// @brief Takes bytes in.
   ClientResult receive(std::string_view Bytes, HttpResponse &Result);
 
+  /// @brief Passes over the answer that receive() or this just gave and waits
+  /// for the next.
+  ClientResult skipAnswer(HttpResponse &Result);
+
+  /// @brief How long the peer says it keeps the connection when idle, less a
+  /// margin for what is under way; nullopt when it does not say.
+  std::optional<std::chrono::milliseconds> idleTime() const;
+
   /// @brief The peer closed; an answer without a length ends by that.
   ClientResult end(HttpResponse &Result);
 
--- a/include/fulmarshelf/detail/shell/http_caller.hpp
+++ b/include/fulmarshelf/detail/shell/http_caller.hpp
@@ -7,6 +7,7 @@
 #include <chrono>        // milliseconds
 #include <functional>    // function
 #include <map>           // map
+#include <optional>      // optional
 #include <string>        // string
 #include <unordered_map> // unordered_map
 #include <variant>       // variant
@@ -30,6 +31,9 @@
   std::chrono::milliseconds ConnectTimeout_{1000};
   std::chrono::milliseconds Timeout_{0}; ///< 0: none
   bool FreshConnection_ = false;         ///< no kept connection is used
+  /// Whether an answer is the one to the request; empty: any is. One that is
+  /// not belongs to an earlier request, and the right one may still follow.
+  std::function<bool(const HttpRequest &, const HttpResponse &)> Matches_;
 };
 
 /// @brief HTTP/1.1 client that keeps connections for the next call.
@@ -55,6 +59,7 @@
   struct Call {
     Endpoint Peer_;
     HttpRequest Request_;
+    std::function<bool(const HttpRequest &, const HttpResponse &)> Matches_;
     ConnectionId Connection_;
     bool Sent_ = false;
     std::unique_ptr<boost::asio::steady_timer> Timer_;
@@ -63,12 +68,15 @@
     HttpClientSession Http_;
     HttpCallId Call_; ///< 0 while idle
     Endpoint Peer_;
+    std::chrono::steady_clock::time_point IdleUntil_;
+    bool Suspicious_ = false; ///< it carried an answer of another request
   };
 
   void send(HttpCallId Target);
   void onOpen(ConnectionId Source);
   void onBytes(ConnectionId Source, std::string_view Bytes);
-  void onClosed(ConnectionId Source);
+  void onClosed(ConnectionId Source, ConnectionEnd How);
+  std::optional<ConnectionId> takeIdle(const Endpoint &Peer);
   void drop(ConnectionId Target);
   void keep(ConnectionId Target);
   void finish(HttpCallId Target, const HttpResult &Result);
--- a/include/fulmarshelf/detail/shell/http_service.hpp
+++ b/include/fulmarshelf/detail/shell/http_service.hpp
@@ -5,6 +5,7 @@
 #include "fulmarshelf/detail/shell/http1_session.hpp"    // HttpServerSession
 #include "fulmarshelf/detail/shell/listener.hpp"         // Listener
 
+#include <chrono>        // milliseconds
 #include <functional>    // function
 #include <optional>      // optional
 #include <unordered_map> // unordered_map
@@ -30,6 +31,15 @@
   /// @brief Answers a request; ignored when its caller is gone.
   void respond(CallerKey Caller, const HttpResponse &Response);
 
+  /// @brief Bounds of requests, and how long connections may be idle or take
+  /// for one request; checked about every second.
+  void setLimits(const HttpLimits &Limits,
+                 std::chrono::milliseconds IdleTimeout,
+                 std::chrono::milliseconds RequestTimeout);
+
+  /// @brief From now on each answer announces the end of its connection.
+  void closeAfterAnswers();
+
   /// @brief Takes no new connections; the open ones go on.
   void stopAccepting();
 
@@ -39,12 +49,18 @@
   struct Exchange {
     HttpServerSession Http_;
     std::optional<CallerKey> Caller_;
+    std::chrono::steady_clock::time_point QuietSince_; ///< answer or accept
+    std::chrono::steady_clock::time_point ReadingSince_;
+    bool Reading_ = false; ///< part of a request is here
   };
 
   void accept(boost::asio::ip::tcp::socket Socket);
   void onBytes(ConnectionId Source, std::string_view Bytes);
   void onClosed(ConnectionId Source);
   void advance(ConnectionId Source);
+  void noteReading(Exchange &Entry);
+  void sweep();
+  void armSweep();
 
   HttpLimits Limits_;
   Handlers Calls_;
@@ -52,6 +68,10 @@
   std::uint64_t LastKey_;
   ConnectionTable Connections_;
   Listener Listener_;
+  boost::asio::steady_timer SweepTimer_;
+  std::chrono::milliseconds IdleTimeout_{0}; ///< 0: none
+  std::chrono::milliseconds RequestTimeout_{0};
+  bool Closing_ = false;
   std::unordered_map<ConnectionId, Exchange> Exchanges_;
   std::unordered_map<CallerKey, ConnectionId> Callers_;
 };
--- a/include/fulmarshelf/detail/shell/node_shell.hpp
+++ b/include/fulmarshelf/detail/shell/node_shell.hpp
@@ -2,17 +2,21 @@
 #define FULMARSHELF_DETAIL_SHELL_NODE_SHELL_HPP
 
 #include "fulmarshelf/detail/engine/engine.hpp"      // Engine
+#include "fulmarshelf/detail/shell/dialect.hpp"      // Dialect
 #include "fulmarshelf/detail/shell/event_writer.hpp" // EventWriter
 #include "fulmarshelf/detail/shell/http_caller.hpp"  // HttpCaller
 #include "fulmarshelf/detail/shell/http_service.hpp" // HttpService
 #include "fulmarshelf/detail/shell/metrics.hpp"      // Metrics
 #include "fulmarshelf/detail/shell/peer_network.hpp" // PeerNetwork
+#include "fulmarshelf/detail/shell/store_client.hpp" // StoreClient
 
 #include <boost/asio/ip/udp.hpp>       // udp
 #include <boost/asio/steady_timer.hpp> // steady_timer
 
 #include <array>         // array
 #include <deque>         // deque
+#include <memory>        // unique_ptr
+#include <optional>      // optional
 #include <string>        // string
 #include <unordered_map> // unordered_map
 
@@ -30,8 +34,15 @@
   /// @brief Begins a graceful shutdown; the io_context stops at its end.
   void leave();
 
+  /// @brief Puts settings in force that may change while the node runs.
+  void reload(const NodeSettings &Settings);
+
+  /// @brief Logs why changed settings are not put in force.
+  void reportBadSettings(const Findings &Faults);
+
 private:
   struct ActionVisitor;
+  struct NoticeVisitor;
 
   void feed(Input Happened);
   void drain();
@@ -40,17 +51,18 @@
   void sendDatagram(const SendDatagram &Wanted);
   void dispatch(const DispatchWork &Wanted);
   void onBackendDone(HttpCallId Call, const HttpResult &Result);
-  void callPlatform(const std::string &What, const HttpRequest &Request,
-                    std::chrono::milliseconds Timeout);
-  void onPlatformDone(HttpCallId Call, const HttpResult &Result);
+  void onRequest(CallerKey Caller, bool FromBackend, HttpRequest Request);
   void onBackendRequest(CallerKey Caller, HttpRequest Request);
   void onOperatorRequest(CallerKey Caller, const HttpRequest &Request);
   HttpResponse operatorPage(const HttpRequest &Request);
+  HttpResponse readinessPage() const;
+  void applyCallerLimits();
   void flushLog();
   static TimePoint now();
 
   boost::asio::io_context &Context_;
   EngineConfig Config_;
+  Dialect Dialect_;
   EventWriter Events_;
   Metrics Metrics_;
   ShellCounts Counts_;
@@ -63,7 +75,9 @@
   HttpService Operators_;
   PeerNetwork Peers_;
   HttpCaller BackendCalls_;
-  HttpCaller PlatformCalls_;
+  StoreClient Store_;
+  std::unique_ptr<HttpService> MetricsPages_; ///< nullptr: none wanted
+  std::optional<CallerLimits> CallerLimits_;  ///< last put in force
   boost::asio::ip::udp::socket Datagrams_;
   boost::asio::ip::udp::endpoint DatagramSource_;
   std::array<char, 65536> DatagramBuffer_{};
@@ -72,22 +86,8 @@
   TimePoint TimerAt_ = TimePoint::max();
   std::unordered_map<WorkId, HttpCallId> CallOfWork_;
   std::unordered_map<HttpCallId, WorkId> WorkOfCall_;
-  std::unordered_map<HttpCallId, std::string> PlatformCallKinds_;
 };
 
-/// @brief Reads a backend server's announcement.
-/// @param Body JSON as docs/HTTP.md describes it
-/// @return false when it is malformed
-bool parseAnnouncement(const std::string &Body, Announcement &Result);
-
-/// @brief JSON of an announcement, for backend servers written with this
-/// library.
-std::string encodeAnnouncement(const Announcement &Value);
-
-/// @brief Value of a query parameter, percent escapes decoded.
-/// @return an empty text when it is missing
-std::string queryValue(const std::string &Target, const std::string &Name);
-
 } // namespace fulmarshelf
 
 #endif
--- a/include/fulmarshelf/detail/wire/http.hpp
+++ b/include/fulmarshelf/detail/wire/http.hpp
@@ -1,7 +1,10 @@
 #ifndef FULMARSHELF_DETAIL_WIRE_HTTP_HPP
 #define FULMARSHELF_DETAIL_WIRE_HTTP_HPP
 
+#include "fulmarshelf/detail/base/time.hpp" // Micros
+
 #include <cstdint>     // uint16_t
+#include <optional>    // optional
 #include <string>      // string
 #include <string_view> // string_view
 #include <vector>      // vector
@@ -32,6 +35,54 @@
   friend bool operator==(const HttpResponse &, const HttpResponse &) = default;
 };
 
+/// @brief What a caller says of its request besides the request itself, decoded
+/// from whichever interface it came in by.
+struct RequestFacts {
+  std::string Host_;       ///< in lower case, without a port
+  std::string CallerKind_; ///< kind of caller, or the service that calls
+  std::optional<Micros> TimeLeft_; ///< how long the caller will wait
+  std::string IdempotencyKey_;     ///< empty: none
+  std::string Parent_;             ///< work that makes this call; empty: none
+  std::string CallerRequestId_;    ///< the caller's own id; empty: none
+  friend bool operator==(const RequestFacts &, const RequestFacts &) = default;
+};
+
+/// @brief A request as it came in.
+struct IncomingRequest {
+  HttpRequest Http_;
+  RequestFacts Facts_;
+  friend bool operator==(const IncomingRequest &,
+                         const IncomingRequest &) = default;
+};
+
+/// @brief What a node tells the backend server along with a request.
+struct DispatchFacts {
+  std::string Parent_;   ///< by which its calls name this work
+  Micros TimeLeft_{0};   ///< after which the answer is of no use
+  std::string Instance_; ///< incarnation that alone may run it; empty: any
+  std::string CallerService_;   ///< where the request began
+  std::string CallerRequestId_; ///< as the caller gave it; empty: none
+  friend bool operator==(const DispatchFacts &,
+                         const DispatchFacts &) = default;
+};
+
+/// @brief Load that a backend server tells of itself.
+struct BackendLoad {
+  std::uint32_t Running_ = 0;
+  std::uint32_t Waiting_ = 0;
+  std::uint32_t Slots_ = 0;
+  std::uint32_t Slowness_ = 100; ///< time that work takes now, 100: as usual
+  friend bool operator==(const BackendLoad &, const BackendLoad &) = default;
+};
+
+/// @brief What a backend server says of its answer besides the answer itself.
+struct AnswerFacts {
+  bool NotExecuted_ = false;    ///< it says that it did not run the request
+  bool OtherInstance_ = false;  ///< another incarnation than was expected
+  std::optional<BackendLoad> Load_;
+  friend bool operator==(const AnswerFacts &, const AnswerFacts &) = default;
+};
+
 /// @brief Header names of the edge protocol; docs/HTTP.md describes each.
 namespace header {
 inline constexpr std::string_view Caller = "Fulmarshelf-Caller";
--- a/include/fulmarshelf/detail/wire/messages.hpp
+++ b/include/fulmarshelf/detail/wire/messages.hpp
@@ -56,7 +56,9 @@
 /// @brief What a call inherits from the request at the root of its chain.
 struct CallContext {
   std::string Root_;
-  std::string Caller_;
+  std::string Caller_; ///< kind of caller at the root, or the calling service
+  std::string Route_;  ///< name under which its time is learned
+  std::string CallerRequestId_; ///< the caller's own id; empty: none
   Rank Rank_ = 0;
   std::uint32_t Depth_ = 0;
   std::uint32_t Tokens_ = 0; ///< retries that this call may spend
--- a/src/base/error.cpp
+++ b/src/base/error.cpp
@@ -11,7 +11,7 @@
   std::string_view Name_;
 };
 
-constexpr std::array<NamedError, 33> ErrorNames = {{
+constexpr std::array<NamedError, 36> ErrorNames = {{
     {ErrorCode::SyntaxError, "syntax-error"},
     {ErrorCode::UnknownSection, "unknown-section"},
     {ErrorCode::UnknownKey, "unknown-key"},
@@ -45,6 +45,9 @@
     {ErrorCode::WrongIncarnation, "wrong-incarnation"},
     {ErrorCode::BackendFailed, "backend-failed"},
     {ErrorCode::LinkFailed, "link-failed"},
+    {ErrorCode::BackendRefused, "backend-refused"},
+    {ErrorCode::BackendReplaced, "backend-replaced"},
+    {ErrorCode::HeaderTooLarge, "header-too-large"},
 }};
 
 } // namespace
--- a/src/base/event_log.cpp
+++ b/src/base/event_log.cpp
@@ -11,7 +11,7 @@
   std::string_view Name_;
 };
 
-constexpr std::array<NamedEvent, 46> EventNames = {{
+constexpr std::array<NamedEvent, 54> EventNames = {{
     {EventNumber::RequestReceived, "request-received"},
     {EventNumber::RequestAnswered, "request-answered"},
     {EventNumber::RequestRefused, "request-refused"},
@@ -48,16 +48,24 @@
     {EventNumber::MemberLeaving, "member-leaving"},
     {EventNumber::BackendAnnounced, "backend-announced"},
     {EventNumber::BackendLost, "backend-lost"},
+    {EventNumber::BackendDeparted, "backend-departed"},
+    {EventNumber::BackendNoticeIgnored, "backend-notice-ignored"},
+    {EventNumber::BackendNoticeMalformed, "backend-notice-malformed"},
     {EventNumber::SettingsApplied, "settings-applied"},
     {EventNumber::SettingsIgnored, "settings-ignored"},
     {EventNumber::SettingsRejected, "settings-rejected"},
     {EventNumber::WatchStarted, "watch-started"},
     {EventNumber::WatchStopped, "watch-stopped"},
-    {EventNumber::PlatformFailed, "platform-failed"},
+    {EventNumber::StoreFailed, "store-failed"},
+    {EventNumber::StoreUnreadable, "store-unreadable"},
+    {EventNumber::StoreBack, "store-back"},
     {EventNumber::NodeStarted, "node-started"},
     {EventNumber::NodeServing, "node-serving"},
     {EventNumber::NodeLeaving, "node-leaving"},
     {EventNumber::NodeStopped, "node-stopped"},
+    {EventNumber::NodeReloaded, "node-reloaded"},
+    {EventNumber::ReloadFailed, "reload-failed"},
+    {EventNumber::LinesOmitted, "lines-omitted"},
 }};
 
 } // namespace
--- a/src/cli/platform_client.cpp
+++ b/src/cli/platform_client.cpp
@@ -37,20 +37,20 @@
 Checked<StoredSettings>
 PlatformClient::read(const std::string &TeamPath) const {
   HttpResult Result =
-      fetch(Platform_, getRequest(settingsObject(TeamPath)), Timeout_);
+      fetch(Platform_, getRequest(TeamsKind, teamObject(TeamPath)), Timeout_);
   const HttpResponse *Response = std::get_if<HttpResponse>(&Result);
   if (Response == nullptr)
     return unreachable(Platform_, "no answer to a read");
   if (Response->Status_ == 404)
     return StoredSettings();
-  PlatformObject Object;
+  StoreObject Object;
   StoredSettings Stored;
   if (Response->Status_ != 200 || !parseObject(Response->Body_, Object))
     return unreachable(Platform_, "a read was answered with status " +
                                       std::to_string(Response->Status_));
   Stored.Exists_ = true;
-  Stored.Version_ = Object.Version_;
-  parseDocument(Object.Value_, Stored.Document_);
+  Stored.Version_ = Object.Revision_;
+  parseDocument(Object.Spec_, Stored.Document_);
   return Stored;
 }
 
@@ -86,18 +86,24 @@
   Next.Writes_.insert(Next.Writes_.begin(), {WriteId, Author_});
   if (Next.Writes_.size() > MaxWriteMarks)
     Next.Writes_.resize(MaxWriteMarks);
-  HttpRequest Request = putRequest(settingsObject(TeamPath),
-                                   encodeDocument(Next), IfVersion, false);
+  std::string Name = teamObject(TeamPath);
+  std::string Spec = encodeDocument(Next);
+  HttpRequest Request =
+      Stored.Exists_ ? replaceRequest(TeamsKind, Name, Spec, IfVersion)
+                     : createRequest(TeamsKind, Name, Spec);
   // Repeating is safe: of all the tries at most one finds the version that
   // they are conditional on.
   for (int Try = 0; Try < WriteTries; ++Try) {
     HttpResult Result = fetch(Platform_, Request, Timeout_);
     const HttpResponse *Response = std::get_if<HttpResponse>(&Result);
-    std::uint64_t Version = 0;
-    if (Response != nullptr && Response->Status_ == 200 &&
-        parseVersion(Response->Body_, Version))
-      return WriteApplied{Version, Try > 0};
-    if (Response != nullptr && Response->Status_ == 412)
+    StoreObject Written;
+    if (Response != nullptr && Response->Status_ / 100 == 2 &&
+        parseObject(Response->Body_, Written))
+      return WriteApplied{Written.Revision_, Try > 0};
+    // Gone or there already: somebody else's write came first, or an earlier
+    // try of this one.
+    if (Response != nullptr &&
+        (Response->Status_ == 409 || Response->Status_ == 404))
       return settle(TeamPath, WriteId);
     if (Response != nullptr && Response->Status_ < 500)
       return WriteFailed{ErrorCode::PlatformRefused,
@@ -110,13 +116,13 @@
 WriteResult PlatformClient::remove(const std::string &TeamPath,
                                    std::uint64_t IfVersion) const {
   HttpResult Result = fetch(
-      Platform_, deleteRequest(settingsObject(TeamPath), IfVersion, false),
+      Platform_, removeRequest(TeamsKind, teamObject(TeamPath), IfVersion),
       Timeout_);
   const HttpResponse *Response = std::get_if<HttpResponse>(&Result);
-  std::uint64_t Version = 0;
-  if (Response != nullptr && Response->Status_ == 200 &&
-      parseVersion(Response->Body_, Version))
-    return WriteApplied{Version, false};
+  StoreObject Removed;
+  if (Response != nullptr && Response->Status_ / 100 == 2 &&
+      parseObject(Response->Body_, Removed))
+    return WriteApplied{Removed.Revision_, false};
   Checked<StoredSettings> Now = read(TeamPath);
   if (!Now)
     return WriteFailed{ErrorCode::PlatformUnreachable,
@@ -126,24 +132,45 @@
   return WriteConflict{Now.value().Version_, lastAuthor(Now.value().Document_)};
 }
 
+Checked<std::vector<StoreObject>>
+PlatformClient::readObjects(const std::string &Kind) const {
+  std::vector<StoreObject> Objects;
+  std::string After;
+  while (true) {
+    HttpResult Result = fetch(
+        Platform_, listRequest(Kind, After, Freshness::Latest), Timeout_);
+    const HttpResponse *Response = std::get_if<HttpResponse>(&Result);
+    StorePage Page;
+    if (Response == nullptr || Response->Status_ != 200 ||
+        !parseList(Response->Body_, Page))
+      return unreachable(Platform_, "no answer to a list");
+    Objects.insert(Objects.end(), Page.Objects_.begin(), Page.Objects_.end());
+    if (!Page.More_ || Page.Objects_.empty())
+      return Objects;
+    After = Page.Objects_.back().Name_;
+  }
+}
+
 Checked<std::vector<SubtreeVersion>> PlatformClient::readAll() const {
-  HttpResult Result = fetch(Platform_, listRequest("/settings/"), Timeout_);
-  const HttpResponse *Response = std::get_if<HttpResponse>(&Result);
-  StoreListed Listed;
-  if (Response == nullptr || Response->Status_ != 200 ||
-      !parseList(Response->Body_, Listed))
-    return unreachable(Platform_, "no answer to a list");
-  return Listed.Subtrees_;
+  Checked<std::vector<StoreObject>> Objects = readObjects(TeamsKind);
+  if (!Objects)
+    return Objects.error();
+  std::vector<SubtreeVersion> Result;
+  for (const StoreObject &Object : Objects.value()) {
+    std::string Fault;
+    std::optional<SubtreeVersion> Read =
+        subtreeOf(Collection::Teams, Object, Fault);
+    if (Read)
+      Result.push_back(*Read);
+  }
+  return Result;
 }
 
 Checked<std::vector<NodeAddresses>> PlatformClient::readNodes() const {
-  HttpResult Result = fetch(Platform_, listRequest("/nodes/"), Timeout_);
-  const HttpResponse *Response = std::get_if<HttpResponse>(&Result);
-  std::vector<NodeAddresses> Nodes;
-  if (Response == nullptr || Response->Status_ != 200 ||
-      !parseNodeList(Response->Body_, Nodes))
-    return unreachable(Platform_, "no answer to a list");
-  return Nodes;
+  Checked<std::vector<StoreObject>> Objects = readObjects(NodesKind);
+  if (!Objects)
+    return Objects.error();
+  return nodesOf(Objects.value());
 }
 
 } // namespace fulmarshelf::cli
--- a/src/cli/platform_client.hpp
+++ b/src/cli/platform_client.hpp
@@ -1,7 +1,7 @@
 #ifndef FULMARSHELF_CLI_PLATFORM_CLIENT_HPP
 #define FULMARSHELF_CLI_PLATFORM_CLIENT_HPP
 
-#include "fulmarshelf/detail/shell/platform_codec.hpp" // SettingsDocument
+#include "fulmarshelf/detail/shell/store_documents.hpp" // SettingsDocument
 
 #include <chrono>  // milliseconds
 #include <string>  // string
@@ -68,6 +68,7 @@
   Checked<std::vector<NodeAddresses>> readNodes() const;
 
 private:
+  Checked<std::vector<StoreObject>> readObjects(const std::string &Kind) const;
   WriteResult settle(const std::string &TeamPath,
                      const std::string &WriteId) const;
 
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -4,8 +4,11 @@
 #include <sodium.h>                  // randombytes_buf, sodium_init
 #include <tclap/CmdLine.h>           // CmdLine
 
-#include <csignal>  // SIGTERM
-#include <iostream> // cerr
+#include <csignal>    // SIGTERM
+#include <cstdlib>    // getenv
+#include <filesystem> // last_write_time
+#include <iostream>   // cerr
+#include <utility>    // move
 
 namespace {
 
@@ -24,11 +27,21 @@
                       "Exit codes: 0 stopped or settings are good, 2 settings "
                       "have faults, 3 an address cannot be bound.",
                       ' ', "0.1");
-  TCLAP::ValueArg<std::string> File("s", "settings", "node settings, INI", true,
-                                    "", "file", Line);
+  TCLAP::ValueArg<std::string> File("s", "settings", "node settings, INI",
+                                    false, "", "file", Line);
+  TCLAP::ValueArg<std::string> Variable(
+      "e", "settings-variable",
+      "environment variable that holds the path of the settings", false, "",
+      "name", Line);
   TCLAP::SwitchArg Check("c", "check", "check the settings and exit", Line);
   Line.parse(Count, Arguments);
-  return {File.getValue(), Check.getValue()};
+  std::string Path = File.getValue();
+  const char *Named = Variable.getValue().empty()
+                          ? nullptr
+                          : std::getenv(Variable.getValue().c_str());
+  if (Path.empty() && Named != nullptr)
+    Path = Named;
+  return {Path, Check.getValue()};
 }
 
 Checked<NodeSettings> readSettings(const std::string &File) {
@@ -50,10 +63,67 @@
   return Config;
 }
 
-int run(const NodeSettings &Settings) {
+// Reads the settings again when a signal says so, or when their file changed
+// without one. Settings with faults change nothing.
+class SettingsWatch {
+public:
+  SettingsWatch(boost::asio::io_context &Context, NodeShell &Shell,
+                std::string File)
+      : Shell_(Shell), File_(std::move(File)), Hangups_(Context, SIGHUP),
+        Timer_(Context), Changed_(changeTime()) {
+    awaitHangup();
+    awaitCheck();
+  }
+
+private:
+  static constexpr std::chrono::seconds CheckInterval{1};
+
+  std::filesystem::file_time_type changeTime() const {
+    std::error_code Unreadable;
+    return std::filesystem::last_write_time(File_, Unreadable);
+  }
+
+  void awaitHangup() {
+    Hangups_.async_wait([this](boost::system::error_code Error, int) {
+      if (Error)
+        return;
+      reload();
+      awaitHangup();
+    });
+  }
+
+  void awaitCheck() {
+    Timer_.expires_after(CheckInterval);
+    Timer_.async_wait([this](boost::system::error_code Error) {
+      if (Error)
+        return;
+      if (changeTime() != Changed_)
+        reload();
+      awaitCheck();
+    });
+  }
+
+  void reload() {
+    Changed_ = changeTime();
+    Checked<NodeSettings> Settings = readSettings(File_);
+    if (Settings)
+      Shell_.reload(Settings.value());
+    else
+      Shell_.reportBadSettings(Settings.error());
+  }
+
+  NodeShell &Shell_;
+  std::string File_;
+  boost::asio::signal_set Hangups_;
+  boost::asio::steady_timer Timer_;
+  std::filesystem::file_time_type Changed_;
+};
+
+int run(const NodeSettings &Settings, const std::string &File) {
   boost::asio::io_context Context(1);
   try {
     NodeShell Shell(Context, makeConfig(Settings));
+    SettingsWatch Watch(Context, Shell, File);
     boost::asio::signal_set Signals(Context, SIGTERM, SIGINT);
     Signals.async_wait([&Shell](boost::system::error_code Error, int) {
       if (!Error)
@@ -82,5 +152,6 @@
   }
   if (Wanted.CheckOnly_)
     return 0;
-  return run(Settings.value());
+  std::signal(SIGPIPE, SIG_IGN);
+  return run(Settings.value(), Wanted.SettingsFile_);
 }
--- a/src/engine/answer_system.cpp
+++ b/src/engine/answer_system.cpp
@@ -63,7 +63,7 @@
 void answerAll(NodeState &Node, Request &Target, const CallReply &Reply) {
   for (const Waiter &To : Target.Waiters_) {
     forgetWaiter(Node, To);
-    answer(Node, To, Reply);
+    answer(Node, To, Reply, {}, Target.Facts_.CallerRequestId_);
   }
   Target.Waiters_.clear();
 }
@@ -79,9 +79,10 @@
 } // namespace
 
 void answer(NodeState &Node, const Waiter &To, const CallReply &Reply,
-            const std::string &FreshTicket) {
+            const std::string &FreshTicket,
+            const std::string &CallerRequestId) {
   if (const CallerKey *Caller = std::get_if<CallerKey>(&To)) {
-    act(Node, AnswerCaller{*Caller, toResponse(Reply, FreshTicket)});
+    act(Node, AnswerCaller{*Caller, Reply, FreshTicket, CallerRequestId});
     return;
   }
   CallReply Sent = Reply;
@@ -98,6 +99,7 @@
   Reply.TokensLeft_ = Target.Context_.Tokens_;
   log(Node, EventNumber::RequestAnswered,
       {{"request", std::to_string(Id.Value_)},
+       {"id", Target.Facts_.CallerRequestId_},
        {"root", Target.Context_.Root_},
        {"outcome", std::string(outcomeName(Reply.Outcome_))},
        {"error", Reply.Outcome_ == Outcome::Complete
--- a/src/engine/answers.cpp
+++ b/src/engine/answers.cpp
@@ -67,6 +67,8 @@
     return 413;
   case ErrorCode::TicketMismatch:
     return 422;
+  case ErrorCode::HeaderTooLarge:
+    return 431;
   case ErrorCode::TicketRequired:
   case ErrorCode::TicketInvalid:
     return 428;
--- a/src/engine/attempt_system.cpp
+++ b/src/engine/attempt_system.cpp
@@ -58,6 +58,7 @@
              std::to_string(candidateCost(Option)).substr(0, 5);
   log(Node, EventNumber::OwnerChosen,
       {{"request", toString(Target.Id_)},
+       {"id", Target.Facts_.CallerRequestId_},
        {"attempt", std::to_string(Fresh.Sequence_)},
        {"owner", Fresh.Node_},
        {"rank", std::to_string(Target.Context_.Rank_)},
@@ -173,6 +174,22 @@
   giveUp(Node, Id);
 }
 
+// Refusals that no backend server has seen anything of.
+bool isFreeMove(const CallReply &Reply) {
+  if (Reply.Outcome_ != Outcome::NotRun)
+    return false;
+  switch (Reply.Error_) {
+  case ErrorCode::Leaving:
+  case ErrorCode::NoLiveOwner:
+  case ErrorCode::BackendFailed:
+  case ErrorCode::BackendReplaced:
+  case ErrorCode::WrongIncarnation:
+    return true;
+  default:
+    return false;
+  }
+}
+
 // A move to another owner that no backend server has seen anything of.
 void moveOn(NodeState &Node, RequestId Id) {
   Request &Target = Node.Requests_.at(Id);
@@ -305,7 +322,10 @@
   Target.RetryAfter_ = std::max(Target.RetryAfter_, Reply.RetryAfter_);
   if (Reply.Outcome_ == Outcome::Unknown)
     Target.MayHaveRun_ = true;
-  if (Reply.Outcome_ == Outcome::NotRun && Reply.Error_ == ErrorCode::Leaving)
+  bool Free = hasRouteTable(Node) ? isFreeMove(Reply)
+                                  : Reply.Outcome_ == Outcome::NotRun &&
+                                        Reply.Error_ == ErrorCode::Leaving;
+  if (Free)
     moveOn(Node, Id);
   else
     tryAgain(Node, Id);
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -58,10 +58,13 @@
     link_system::onHeard(Node_, Input.Link_);
   }
   void operator()(const BackendAnnounced &Input) const {
-    backend_system::announce(Node_, Input.Announcement_);
+    backend_system::announce(Node_, Input);
+  }
+  void operator()(const BackendDeparted &Input) const {
+    backend_system::depart(Node_, Input);
   }
   void operator()(const BackendAnswered &Input) const {
-    owner_system::onAnswer(Node_, Input.Work_, Input.Response_);
+    owner_system::onAnswer(Node_, Input);
   }
   void operator()(const BackendFailed &Input) const {
     owner_system::onFailure(Node_, Input.Work_, Input.NeverSent_);
@@ -82,7 +85,10 @@
     settings_system::onWatched(Node_, Input);
   }
   void operator()(const StoreFailed &Input) const {
-    settings_system::onFailed(Node_, Input.Call_);
+    settings_system::onFailed(Node_, Input);
+  }
+  void operator()(const StoreUnreadable &Input) const {
+    settings_system::onUnreadable(Node_, Input);
   }
   void operator()(const LeaveRequested &) const { leave_system::begin(Node_); }
 };
--- a/src/engine/entry_system.cpp
+++ b/src/engine/entry_system.cpp
@@ -12,27 +12,28 @@
 constexpr Micros ForgetDelay = millis(60'000);
 constexpr std::size_t MaxCallsOfWork = 1024;
 constexpr std::uint32_t MaxDepth = 32;
+// A node has its settings within about a second of its start.
+constexpr Micros StartingRetryAfter = millis(1000);
 constexpr std::string_view TicketPath = "/_fulmarshelf/ticket";
 
-void refuse(NodeState &Node, const Waiter &To, const CallReply &Reply,
+// Answers a request that never got into the tables.
+void refuse(NodeState &Node, const Request &Refused, const CallReply &Reply,
             const std::string &Detail, const std::string &FreshTicket = {}) {
   log(Node, EventNumber::RequestRefused,
-      {{"error", std::string(errorName(Reply.Error_))},
+      {{"request", toString(Refused.Id_)},
+       {"id", Refused.Facts_.CallerRequestId_},
+       {"error", std::string(errorName(Reply.Error_))},
        {"outcome", std::string(outcomeName(Reply.Outcome_))},
        {"detail", Detail}});
-  answer_system::answer(Node, To, Reply, FreshTicket);
-}
-
-std::string headerOf(const HttpRequest &Request, std::string_view Name) {
-  const std::string *Value = findHeader(Request.Headers_, Name);
-  return Value == nullptr ? std::string() : *Value;
+  answer_system::answer(Node, Refused.Waiters_.front(), Reply, FreshTicket,
+                        Refused.Facts_.CallerRequestId_);
 }
 
 // Everything that makes two requests the same one for a ticket.
-std::string requestDigest(const HttpRequest &Request) {
-  return contentDigest(Request.Method_ + "\n" + Request.Target_ + "\n" +
-                       headerOf(Request, header::Caller) + "\n" +
-                       Request.Body_);
+std::string requestDigest(const Request &Target) {
+  const HttpRequest &Http = Target.Http_;
+  return contentDigest(Http.Method_ + "\n" + Http.Target_ + "\n" +
+                       Target.Facts_.CallerKind_ + "\n" + Http.Body_);
 }
 
 // Requests of outside callers are joined only when every header agrees, since
@@ -58,8 +59,9 @@
 
 void fillFromRules(NodeState &Node, Request &Target,
                    const EffectiveRules &Rules) {
-  const HttpRequest &Http = Target.Http_;
-  Target.Context_.Caller_ = headerOf(Http, header::Caller);
+  Target.Context_.Caller_ = Target.Facts_.CallerKind_;
+  Target.Context_.CallerRequestId_ = Target.Facts_.CallerRequestId_;
+  Target.Context_.Route_ = Target.Route_;
   Target.Context_.Idempotent_ = Rules.Idempotent_;
   Target.Context_.Tokens_ = Rules.Retries_;
   Target.Context_.Root_ = toString(
@@ -67,12 +69,9 @@
   Target.Context_.Rank_ =
       makeRank(Rules.Importance_, false, stableHash(Target.Context_.Root_));
   Target.Context_.Budget_ = Rules.Patience_;
-  std::uint64_t DeadlineMs = 0;
-  if (parseNumber(headerOf(Http, header::DeadlineMs), DeadlineMs))
+  if (Target.Facts_.TimeLeft_)
     Target.Context_.Budget_ =
-        std::min(Target.Context_.Budget_,
-                 millis(static_cast<std::int64_t>(
-                     std::min<std::uint64_t>(DeadlineMs, 3'600'000))));
+        std::min(Target.Context_.Budget_, *Target.Facts_.TimeLeft_);
 }
 
 // A call inherits the root, the importance when that is higher, the time that
@@ -152,11 +151,11 @@
   std::string Key = std::to_string(Value.Sequence_);
   const TicketRecord *Known = Node.Tickets_.find(Value.Sequence_);
   if (Node.Phase_ == NodePhase::Leaving && Known == nullptr) {
-    refuse(Node, To, notRun(ErrorCode::Leaving), "ticket " + Key);
+    refuse(Node, Fresh, notRun(ErrorCode::Leaving), "ticket " + Key);
     return;
   }
   TicketVerdict Verdict = Node.Tickets_.use(
-      Node.Now_, Value, requestDigest(Fresh.Http_), Fresh.Id_);
+      Node.Now_, Value, requestDigest(Fresh), Fresh.Id_);
   switch (Verdict) {
   case TicketVerdict::Start:
     log(Node, EventNumber::TicketStarted,
@@ -178,23 +177,22 @@
   }
   default:
     log(Node, EventNumber::TicketRefused, {{"ticket", Key}});
-    refuse(Node, To,
+    refuse(Node, Fresh,
            refusalOf(Verdict, Value.Incarnation_ == Node.Config_.Incarnation_),
            "ticket " + Key, toString(Node.Tickets_.issue(Node.Now_)));
   }
 }
 
 void startTicketed(NodeState &Node, Request Fresh) {
-  const std::string *Key =
-      findHeader(Fresh.Http_.Headers_, header::IdempotencyKey);
+  const std::string Key = Fresh.Facts_.IdempotencyKey_;
   Ticket Value;
-  if (Key == nullptr || !parseTicket(*Key, Value)) {
+  if (!parseTicket(Key, Value)) {
     ErrorCode Why =
-        Key == nullptr ? ErrorCode::TicketRequired : ErrorCode::TicketInvalid;
+        Key.empty() ? ErrorCode::TicketRequired : ErrorCode::TicketInvalid;
     Ticket Offered = Node.Tickets_.issue(Node.Now_);
     log(Node, EventNumber::TicketIssued,
         {{"ticket", std::to_string(Offered.Sequence_)}});
-    refuse(Node, Fresh.Waiters_.front(), notRun(Why), "no usable ticket",
+    refuse(Node, Fresh, notRun(Why), "no usable ticket",
            toString(Offered));
     return;
   }
@@ -202,7 +200,7 @@
     startOwnTicket(Node, std::move(Fresh), Value);
     return;
   }
-  Fresh.ForwardedTicket_ = *Key;
+  Fresh.ForwardedTicket_ = Key;
   adopt(Node, std::move(Fresh));
 }
 
@@ -210,10 +208,9 @@
 // gets the first answer, or costs a token.
 void startChild(NodeState &Node, Request Fresh, Work &Parent) {
   Waiter To = Fresh.Waiters_.front();
-  const std::string *Given =
-      findHeader(Fresh.Http_.Headers_, header::IdempotencyKey);
-  Fresh.ChildKey_ = Given != nullptr ? "key " + *Given
-                                     : "digest " + requestDigest(Fresh.Http_);
+  const std::string &Given = Fresh.Facts_.IdempotencyKey_;
+  Fresh.ChildKey_ =
+      Given.empty() ? "digest " + requestDigest(Fresh) : "key " + Given;
   auto Known = Parent.Calls_.find(Fresh.ChildKey_);
   if (Known != Parent.Calls_.end()) {
     ChildCall &Call = Known->second;
@@ -232,13 +229,13 @@
     if (Payer == 0 && hasFullPolicy(Node)) {
       log(Node, EventNumber::RetryDenied,
           {{"work", std::to_string(Parent.Id_.Value_)}});
-      refuse(Node, To, notRun(ErrorCode::RetryLimit), "repeat of a call");
+      refuse(Node, Fresh, notRun(ErrorCode::RetryLimit), "repeat of a call");
       return;
     }
     Payer -= std::min(Payer, 1U);
   } else if (Parent.Calls_.size() >= MaxCallsOfWork) {
     Parent.Context_.Tokens_ += Fresh.Context_.Tokens_;
-    refuse(Node, To, notRun(ErrorCode::BadRequest), "too many calls");
+    refuse(Node, Fresh, notRun(ErrorCode::BadRequest), "too many calls");
     return;
   }
   Parent.Calls_[Fresh.ChildKey_] = {Fresh.Id_, Fresh.Context_.Idempotent_, {}};
@@ -246,7 +243,7 @@
 }
 
 void startOutside(NodeState &Node, Request Fresh) {
-  if (findHeader(Fresh.Http_.Headers_, header::RequestId) != nullptr) {
+  if (!Fresh.Facts_.CallerRequestId_.empty()) {
     Fresh.JoinKey_ = joinKey(Fresh.Http_);
     auto Known = Node.Joinable_.find(Fresh.JoinKey_);
     if (Known != Node.Joinable_.end()) {
@@ -263,14 +260,17 @@
                                       const CallerArrived &Input) {
   if (Node.Phase_ == NodePhase::Starting)
     return ErrorCode::SettingsUnavailable;
-  if (Node.Phase_ != NodePhase::Serving && !Input.FromBackend_)
+  // With a route table the caller's own entry is the only one it has, so it
+  // serves until the callers have been told to stay away.
+  if (Node.Phase_ != NodePhase::Serving && !Input.FromBackend_ &&
+      !hasRouteTable(Node))
     return ErrorCode::Leaving;
   return std::nullopt;
 }
 
 // A ticket for the asking, so that a booking needs no refused first try.
 bool answerTicketRequest(NodeState &Node, const CallerArrived &Input) {
-  if (Input.Request_.Target_ != TicketPath)
+  if (Input.Request_.Http_.Target_ != TicketPath)
     return false;
   Ticket Offered = Node.Tickets_.issue(Node.Now_);
   log(Node, EventNumber::TicketIssued,
@@ -290,61 +290,105 @@
           Node.Backend_.Announcement_.Service_ == Service);
 }
 
+// The request's service and rules by the first segment of its path.
+std::optional<EffectiveRules> rulesByPath(NodeState &Node, Request &Fresh) {
+  Fresh.Service_ = serviceOf(Fresh.Http_.Target_);
+  Fresh.Route_ = routeKeyOf(Fresh.Http_);
+  return Node.Settings_.effective(Fresh.Service_, Fresh.Http_.Method_,
+                                  pathOf(Fresh.Http_.Target_),
+                                  Fresh.Facts_.CallerKind_);
+}
+
+// The request's service and rules by the route that matches. Of a route's
+// services the one whose turn it is takes the request, whether or not it has
+// room, so that the shares are those of the weights.
+std::optional<EffectiveRules> rulesByRoute(NodeState &Node, Request &Fresh) {
+  const RouteTable *Table = Node.Settings_.routes();
+  std::string_view Path = pathOf(Fresh.Http_.Target_);
+  const Route *Matched = Table == nullptr
+                             ? nullptr
+                             : findRoute(*Table, Fresh.Facts_.Host_, Path);
+  if (Matched == nullptr)
+    return std::nullopt;
+  Fresh.Route_ = routeName(*Matched);
+  Fresh.Service_ = Node.Splits_[Fresh.Route_].next(Matched->Services_);
+  return Node.Settings_.effective(*Matched, Fresh.Service_,
+                                  Fresh.Http_.Method_, Path,
+                                  Fresh.Facts_.CallerKind_);
+}
+
+CallReply refusalWithoutRules(NodeState &Node, const Request &Fresh) {
+  bool Known = hasRouteTable(Node) ? Node.Settings_.routes() == nullptr
+                                   : isKnownService(Node, Fresh.Service_);
+  if (Known)
+    return notRun(ErrorCode::SettingsUnavailable, StartingRetryAfter);
+  return notRun(ErrorCode::UnknownService);
+}
+
+void startByKind(NodeState &Node, Request Fresh, bool FromBackend,
+                 const EffectiveRules &Rules) {
+  if (FromBackend && !Fresh.Facts_.Parent_.empty()) {
+    Work *Parent = findParent(Node, Fresh.Facts_.Parent_);
+    if (Parent == nullptr || Parent->Context_.Depth_ >= MaxDepth) {
+      refuse(Node, Fresh, notRun(ErrorCode::UnknownParent),
+             Fresh.Facts_.Parent_);
+      return;
+    }
+    inherit(Node, Fresh, Rules, *Parent);
+    startChild(Node, std::move(Fresh), *Parent);
+    return;
+  }
+  // With a route table each attempt of a caller has an id of its own and comes
+  // in once, so there is nothing to join and no ticket is needed.
+  if (hasRouteTable(Node))
+    adopt(Node, std::move(Fresh));
+  else if (Fresh.Context_.Idempotent_)
+    startOutside(Node, std::move(Fresh));
+  else
+    startTicketed(Node, std::move(Fresh));
+}
+
 } // namespace
 
 void receive(NodeState &Node, const CallerArrived &Input) {
-  Waiter To = Input.Caller_;
   Request Fresh;
+  Node.LastArrival_ = Node.Now_;
   Fresh.Id_ = RequestId{++Node.LastRequest_};
-  Fresh.Waiters_ = {To};
-  Fresh.Http_ = Input.Request_;
+  Fresh.Waiters_ = {Input.Caller_};
+  Fresh.Http_ = Input.Request_.Http_;
+  Fresh.Facts_ = Input.Request_.Facts_;
   Fresh.Arrived_ = Node.Now_;
-  Fresh.Service_ = serviceOf(Input.Request_.Target_);
-  Fresh.Route_ = routeKeyOf(Input.Request_);
+  std::optional<EffectiveRules> Rules = hasRouteTable(Node)
+                                            ? rulesByRoute(Node, Fresh)
+                                            : rulesByPath(Node, Fresh);
   log(Node, EventNumber::RequestReceived,
       {{"request", toString(Fresh.Id_)},
+       {"id", Fresh.Facts_.CallerRequestId_},
        {"route", Fresh.Route_},
+       {"service", Fresh.Service_},
+       {"settings", std::to_string(Rules ? Rules->Version_ : 0)},
        {"from", Input.FromBackend_ ? "backend" : "caller"}});
   if (std::optional<ErrorCode> Why = phaseRefusal(Node, Input)) {
-    refuse(Node, To, notRun(*Why, millis(1000)), "node is not serving");
+    refuse(Node, Fresh, notRun(*Why, StartingRetryAfter),
+           "node is not serving");
     return;
   }
   if (answerTicketRequest(Node, Input))
     return;
-  std::string Caller = headerOf(Input.Request_, header::Caller);
-  std::optional<EffectiveRules> Rules =
-      Node.Settings_.effective(Fresh.Service_, Input.Request_.Method_,
-                               pathOf(Input.Request_.Target_), Caller);
   if (!Rules) {
-    bool Known = isKnownService(Node, Fresh.Service_);
-    refuse(Node, To,
-           notRun(Known ? ErrorCode::SettingsUnavailable
-                        : ErrorCode::UnknownService),
-           "no team has service '" + Fresh.Service_ + "'");
+    refuse(Node, Fresh, refusalWithoutRules(Node, Fresh),
+           "no settings for '" + Fresh.Facts_.Host_ + Fresh.Http_.Target_ +
+               "'");
     return;
   }
-  if (Input.Request_.Body_.size() > Rules->MaxBody_) {
-    refuse(Node, To, notRun(ErrorCode::BodyTooLarge),
+  if (Fresh.Http_.Body_.size() > Rules->MaxBody_) {
+    refuse(Node, Fresh, notRun(ErrorCode::BodyTooLarge),
            "limit is " + std::to_string(Rules->MaxBody_) + " bytes");
     return;
   }
   fillFromRules(Node, Fresh, *Rules);
   Node.Budgets_[Fresh.Service_].onFresh(Rules->RetryShare_);
-  std::string ParentText = headerOf(Input.Request_, header::Parent);
-  if (Input.FromBackend_ && !ParentText.empty()) {
-    Work *Parent = findParent(Node, ParentText);
-    if (Parent == nullptr || Parent->Context_.Depth_ >= MaxDepth) {
-      refuse(Node, To, notRun(ErrorCode::UnknownParent), ParentText);
-      return;
-    }
-    inherit(Node, Fresh, *Rules, *Parent);
-    startChild(Node, std::move(Fresh), *Parent);
-    return;
-  }
-  if (Fresh.Context_.Idempotent_)
-    startOutside(Node, std::move(Fresh));
-  else
-    startTicketed(Node, std::move(Fresh));
+  startByKind(Node, std::move(Fresh), Input.FromBackend_, *Rules);
 }
 
 void receiveAsHome(NodeState &Node, StreamKey Stream,
@@ -355,15 +399,16 @@
   Fresh.Http_ = Message.Request_;
   Fresh.Context_ = Message.Context_;
   Fresh.Arrived_ = Node.Now_;
+  Fresh.Facts_.CallerKind_ = Message.Context_.Caller_;
   Fresh.Service_ = serviceOf(Message.Request_.Target_);
   Fresh.Route_ = routeKeyOf(Message.Request_);
   Ticket Value;
   if (!parseTicket(Message.Ticket_, Value)) {
-    refuse(Node, Stream, notRun(ErrorCode::TicketInvalid), "malformed ticket");
+    refuse(Node, Fresh, notRun(ErrorCode::TicketInvalid), "malformed ticket");
     return;
   }
   if (Node.Phase_ == NodePhase::Starting) {
-    refuse(Node, Stream, unknownOutcome(ErrorCode::TicketHomeGone),
+    refuse(Node, Fresh, unknownOutcome(ErrorCode::TicketHomeGone),
            "the home has restarted");
     return;
   }
--- /dev/null
+++ b/src/engine/inputs.cpp
@@ -0,0 +1,25 @@
+#include "fulmarshelf/detail/engine/inputs.hpp"
+
+namespace fulmarshelf {
+
+std::string_view collectionName(Collection Value) {
+  return Value == Collection::Teams ? "teams" : "routes";
+}
+
+std::string_view storeCallName(StoreCall Value) {
+  switch (Value) {
+  case StoreCall::List:
+    return "list";
+  case StoreCall::Watch:
+    return "watch";
+  case StoreCall::Nodes:
+    return "nodes";
+  case StoreCall::Announce:
+    return "announce";
+  case StoreCall::Withdraw:
+    return "withdraw";
+  }
+  return "list";
+}
+
+} // namespace fulmarshelf
--- a/src/engine/leave_system.cpp
+++ b/src/engine/leave_system.cpp
@@ -8,6 +8,24 @@
 // The last answers and the word of leaving need a moment on the wire.
 constexpr Micros FarewellTime = millis(300);
 
+// Callers ask every second whether this node is ready and stay away after two
+// refusals; those under way then still arrive.
+constexpr Micros LeastTimeForCallers = millis(3000);
+constexpr Micros QuietTime = millis(250);
+// What is not done by then would be cut by the kill anyway.
+constexpr Micros KillMargin = millis(100);
+
+bool mayStop(const NodeState &Node) {
+  Micros Passed = Node.Now_ - Node.LeaveBegan_;
+  bool Idle = Node.Works_.empty() && Node.Requests_.empty();
+  if (!hasRouteTable(Node))
+    return Idle;
+  if (Passed >= Node.Config_.Settings_.Bounds_.GraceTime_ - KillMargin)
+    return true;
+  return Idle && Passed >= LeastTimeForCallers &&
+         Node.Now_ - Node.LastArrival_ >= QuietTime;
+}
+
 } // namespace
 
 void begin(NodeState &Node) {
@@ -21,11 +39,12 @@
   Node.Membership_.spread({});
   owner_system::refuseQueued(Node, ErrorCode::Leaving);
   act(Node, StoreWithdraw{});
+  Node.LeaveBegan_ = Node.Now_;
   setTimer(Node, FarewellTime, TimerKind::LeaveCheck);
 }
 
 void check(NodeState &Node) {
-  if (!Node.Works_.empty() || !Node.Requests_.empty()) {
+  if (!mayStop(Node)) {
     setTimer(Node, CheckInterval, TimerKind::LeaveCheck);
     return;
   }
--- a/src/engine/node_state.cpp
+++ b/src/engine/node_state.cpp
@@ -57,6 +57,10 @@
   return Node.Config_.Settings_.Policy_ == PolicyMode::Full;
 }
 
+bool hasRouteTable(const NodeState &Node) {
+  return Node.Config_.Settings_.Interface_ == InterfaceKind::Platform;
+}
+
 const std::string &ownName(const NodeState &Node) {
   return Node.Config_.Settings_.Name_;
 }
--- a/src/engine/owner_system.cpp
+++ b/src/engine/owner_system.cpp
@@ -70,7 +70,8 @@
     return ErrorCode::NoLiveOwner;
   if (Node.Backend_.Announcement_.State_ == BackendState::Draining)
     return ErrorCode::Leaving;
-  if (Node.Now_ < Node.Backend_.SuspectUntil_)
+  if (Node.Backend_.ReplacedUnseen_ ||
+      Node.Now_ < Node.Backend_.SuspectUntil_)
     return ErrorCode::BackendFailed;
   return std::nullopt;
 }
@@ -79,6 +80,7 @@
             const CallContext &Context, ErrorCode Why) {
   log(Node, EventNumber::WorkRefused,
       {{"attempt", toString(Attempt)},
+       {"id", Context.CallerRequestId_},
        {"root", Context.Root_},
        {"error", std::string(errorName(Why))}});
   CallReply Reply = notRun(Why);
@@ -100,7 +102,7 @@
   Fresh.Waiter_ = Waiter;
   Fresh.Context_ = Context;
   Fresh.Http_ = Http;
-  Fresh.Route_ = routeKeyOf(Http);
+  Fresh.Route_ = Context.Route_.empty() ? routeKeyOf(Http) : Context.Route_;
   Fresh.Arrived_ = Node.Now_;
   Fresh.Deadline_ = Node.Now_ + Context.Budget_;
   Fresh.Long_ = Node.WorkTimes_.isLong(Fresh.Route_);
@@ -155,6 +157,7 @@
     levelOf(Node, Item.Long_).onEviction();
   log(Node, EventNumber::WorkEvicted,
       {{"work", toString(Item.Work_)},
+       {"id", Found->second.Context_.CallerRequestId_},
        {"root", Found->second.Context_.Root_},
        {"rank", std::to_string(Item.Rank_)},
        {"error", std::string(errorName(Why))},
@@ -225,6 +228,7 @@
   }
   log(Node, EventNumber::WorkQueued,
       {{"work", toString(Fresh.Id_)},
+       {"id", Context.CallerRequestId_},
        {"attempt", toString(Attempt)},
        {"root", Context.Root_},
        {"rank", std::to_string(Item.Rank_)},
@@ -239,14 +243,18 @@
   runQueue(Node);
 }
 
-void onAnswer(NodeState &Node, WorkId Id, const HttpResponse &Response) {
+void onAnswer(NodeState &Node, const BackendAnswered &Input) {
+  WorkId Id = Input.Work_;
+  const HttpResponse &Response = Input.Response_;
   auto Found = Node.Works_.find(Id);
   if (Found == Node.Works_.end())
     return;
   Work &Target = Found->second;
   Micros Took = Node.Now_ - Target.Dispatched_;
-  bool Shed = Response.Status_ == 503 &&
-              findHeader(Response.Headers_, header::Shed) != nullptr;
+  bool Shed = Input.Facts_.NotExecuted_;
+  Node.Backend_.Heard_ = Node.Now_;
+  if (Input.Facts_.OtherInstance_)
+    backend_system::onOtherInstance(Node);
   unsigned InFlight = Node.Running_;
   freeSlot(Node, Target);
   if (Shed) {
@@ -262,14 +270,18 @@
   log(Node, EventNumber::WorkFinished,
       {{"work", toString(Id)},
        {"status", std::to_string(Response.Status_)},
+       {"id", Target.Context_.CallerRequestId_},
        {"shed", Shed ? "yes" : "no"},
        {"took", std::to_string(Took.count())},
        {"limit", std::to_string(Node.Limit_.limit())}});
   CallReply Reply;
   Reply.Outcome_ = Outcome::Complete;
   Reply.Response_ = Response;
-  if (Shed)
-    Reply = notRun(ErrorCode::Shed, retryAfter(Node, Target.Context_.Rank_));
+  if (Input.Facts_.OtherInstance_)
+    Reply = notRun(ErrorCode::BackendReplaced);
+  else if (Shed)
+    Reply = notRun(hasRouteTable(Node) ? ErrorCode::BackendRefused
+                                       : ErrorCode::Shed, retryAfter(Node, Target.Context_.Rank_));
   finish(Node, Id, Reply);
   runQueue(Node);
 }
--- a/src/engine/settings_system.cpp
+++ b/src/engine/settings_system.cpp
@@ -9,6 +9,9 @@
 constexpr Micros TickInterval = millis(500);
 constexpr Micros LeastBackoff = millis(500);
 constexpr Micros MostBackoff = millis(8000);
+// After a stop of the whole mesh every node must be back within two seconds of
+// the store's return.
+constexpr Micros MostRoutesBackoff = millis(1000);
 constexpr Micros DigestSyncInterval = millis(1000);
 constexpr Micros MembersSyncInterval = millis(30'000);
 constexpr std::size_t WatchersOfDomain = 2;
@@ -70,7 +73,8 @@
 }
 
 void beginServing(NodeState &Node, const std::string &Source) {
-  if (Node.Phase_ != NodePhase::Starting)
+  bool Ready = !hasRouteTable(Node) || Node.Settings_.routes() != nullptr;
+  if (Node.Phase_ != NodePhase::Starting || !Ready)
     return;
   Node.Phase_ = NodePhase::Serving;
   log(Node, EventNumber::NodeServing, {{"settings", Source}});
@@ -83,6 +87,18 @@
   Node.Membership_.spread({});
 }
 
+// What is in force but not listed was deleted at this revision or before.
+void addDeletions(const NodeState &Node, const StoreListed &Input,
+                  std::vector<SubtreeVersion> &Offered) {
+  for (const SubtreeVersion &Known : Node.Settings_.all()) {
+    bool Listed = Known.Path_ == RouteTablePath;
+    for (const SubtreeVersion &Item : Input.Subtrees_)
+      Listed = Listed || Item.Path_ == Known.Path_;
+    if (!Listed && !Known.Deleted_ && Known.Version_ <= Input.Revision_)
+      Offered.push_back({Known.Path_, Input.Revision_, true, {}});
+  }
+}
+
 Member seedMember(const std::string &Name, const Endpoint &Seed) {
   Member Unknown;
   Unknown.Node_ = Name;
@@ -128,6 +144,8 @@
 // that start together at least one sees the other.
 void callForNodes(NodeState &Node) {
   SettingsSync &Sync = Node.Sync_;
+  if (Node.Now_ < Sync.NextStoreTry_)
+    return;
   if (!Sync.Announced_ && !Sync.AnnounceOpen_) {
     Sync.AnnounceOpen_ = true;
     act(Node, StoreAnnounce{});
@@ -140,27 +158,52 @@
   act(Node, StoreListNodes{});
 }
 
-void callStore(NodeState &Node) {
-  SettingsSync &Sync = Node.Sync_;
-  if (Node.Now_ < Sync.NextStoreTry_)
+void follow(NodeState &Node, Collection Kind) {
+  CollectionSync &Sync = Node.Sync_.Collections_[Kind];
+  if (Node.Now_ < Sync.NextTry_)
     return;
   bool Watcher = isWatcher(Node);
-  bool NeedsList = Node.Phase_ == NodePhase::Starting || Watcher;
+  bool Missing = Kind == Collection::Routes &&
+                 Node.Settings_.routes() == nullptr;
+  bool NeedsList = Node.Phase_ == NodePhase::Starting || Watcher || Missing;
   if (!Sync.Listed_ && !Sync.ListOpen_ && NeedsList) {
     Sync.ListOpen_ = true;
-    act(Node, StoreList{});
+    act(Node, StoreList{Kind});
   }
   if (Sync.Listed_ && !Sync.WatchOpen_ && Watcher) {
     Sync.WatchOpen_ = true;
     log(Node, EventNumber::WatchStarted,
-        {{"revision", std::to_string(Sync.Revision_)}});
-    act(Node, StoreWatch{Sync.Revision_});
+        {{"of", std::string(collectionName(Kind))},
+         {"revision", std::to_string(Sync.Revision_)}});
+    act(Node, StoreWatch{Kind, Sync.Revision_});
   }
   if (!Watcher && Sync.Listed_ && !Sync.WatchOpen_)
     Sync.Listed_ = false; // what was listed grows old without a watch
+}
+
+void callStore(NodeState &Node) {
+  follow(Node, Collection::Teams);
+  if (hasRouteTable(Node))
+    follow(Node, Collection::Routes);
   callForNodes(Node);
 }
 
+// What a store call that worked says about the store.
+void noteStoreBack(NodeState &Node, Micros &Backoff) {
+  if (Backoff.count() > 0)
+    log(Node, EventNumber::StoreBack,
+        {{"backoff", std::to_string(Backoff.count())}});
+  Backoff = Micros(0);
+}
+
+// Waits longer after each failure; returns when to try again.
+TimePoint backOff(NodeState &Node, Micros &Backoff) {
+  Micros Most = hasRouteTable(Node) ? MostRoutesBackoff : MostBackoff;
+  Backoff = std::clamp(Backoff * 2, LeastBackoff, Most);
+  std::uniform_int_distribution<Micros::rep> Jitter(0, Backoff.count() / 2);
+  return Node.Now_ + Backoff + Micros(Jitter(Node.Random_));
+}
+
 } // namespace
 
 // Two nodes of each failure domain watch, chosen by rendezvous hashing over
@@ -204,34 +247,31 @@
 }
 
 void onListed(NodeState &Node, const StoreListed &Input) {
-  SettingsSync &Sync = Node.Sync_;
+  CollectionSync &Sync = Node.Sync_.Collections_[Input.Collection_];
   Sync.ListOpen_ = false;
   Sync.Listed_ = true;
-  Sync.StoreBackoff_ = Micros(0);
+  noteStoreBack(Node, Sync.Backoff_);
   Sync.Revision_ = std::max(Sync.Revision_, Input.Revision_);
   std::vector<SubtreeVersion> Offered = Input.Subtrees_;
-  // What is in force but not listed was deleted at this revision or before.
-  for (const SubtreeVersion &Known : Node.Settings_.all()) {
-    bool Listed = false;
-    for (const SubtreeVersion &Item : Input.Subtrees_)
-      Listed = Listed || Item.Path_ == Known.Path_;
-    if (!Listed && !Known.Deleted_ && Known.Version_ <= Input.Revision_)
-      Offered.push_back({Known.Path_, Input.Revision_, true, {}});
-  }
-  applyAll(Node, Offered, "platform");
-  beginServing(Node, "platform");
+  if (Input.Collection_ == Collection::Teams)
+    addDeletions(Node, Input, Offered);
+  applyAll(Node, Offered, "store");
+  if (Input.Collection_ == Collection::Teams || !Offered.empty())
+    beginServing(Node, "store");
   callStore(Node);
 }
 
 void onAnnounced(NodeState &Node) {
   Node.Sync_.AnnounceOpen_ = false;
   Node.Sync_.Announced_ = true;
+  noteStoreBack(Node, Node.Sync_.StoreBackoff_);
   callStore(Node);
 }
 
 void onNodesListed(NodeState &Node, const StoreNodesListed &Input) {
   SettingsSync &Sync = Node.Sync_;
   Sync.NodesOpen_ = false;
+  noteStoreBack(Node, Sync.StoreBackoff_);
   Sync.Unmet_ = Input.Nodes_;
   std::shuffle(Sync.Unmet_.begin(), Sync.Unmet_.end(), Node.Random_);
   ++Sync.NodesLists_;
@@ -242,38 +282,47 @@
 }
 
 void onWatched(NodeState &Node, const StoreWatched &Input) {
-  SettingsSync &Sync = Node.Sync_;
+  CollectionSync &Sync = Node.Sync_.Collections_[Input.Collection_];
   Sync.WatchOpen_ = false;
-  Sync.StoreBackoff_ = Micros(0);
+  noteStoreBack(Node, Sync.Backoff_);
   Sync.Revision_ = std::max(Sync.Revision_, Input.Revision_);
   applyAll(Node, Input.Changes_, "watch");
   if (!isWatcher(Node))
     log(Node, EventNumber::WatchStopped,
-        {{"revision", std::to_string(Sync.Revision_)}});
+        {{"of", std::string(collectionName(Input.Collection_))},
+         {"revision", std::to_string(Sync.Revision_)}});
   callStore(Node);
 }
 
-void onFailed(NodeState &Node, const std::string &Call) {
+void onUnreadable(NodeState &Node, const StoreUnreadable &Input) {
+  Node.Sync_.Unreadable_ = Input.Detail_;
+  log(Node, EventNumber::StoreUnreadable,
+      {{"of", std::string(collectionName(Input.Collection_))},
+       {"revision", std::to_string(Input.Revision_)},
+       {"detail", Input.Detail_}});
+}
+
+void onFailed(NodeState &Node, const StoreFailed &Input) {
   SettingsSync &Sync = Node.Sync_;
-  if (Call == "list")
-    Sync.ListOpen_ = false;
-  if (Call == "watch") {
-    Sync.WatchOpen_ = false;
-    Sync.Listed_ = false; // changes may have been missed
+  TimePoint Again;
+  if (Input.Call_ == StoreCall::List || Input.Call_ == StoreCall::Watch) {
+    CollectionSync &Kind = Sync.Collections_[Input.Collection_];
+    if (Input.Call_ == StoreCall::List)
+      Kind.ListOpen_ = false;
+    else
+      Kind.WatchOpen_ = Kind.Listed_ = false; // changes may have been missed
+    Again = Kind.NextTry_ = backOff(Node, Kind.Backoff_);
+  } else {
+    if (Input.Call_ == StoreCall::Announce)
+      Sync.AnnounceOpen_ = false;
+    if (Input.Call_ == StoreCall::Nodes)
+      Sync.NodesOpen_ = false;
+    Again = Sync.NextStoreTry_ = backOff(Node, Sync.StoreBackoff_);
   }
-  if (Call == "announce")
-    Sync.AnnounceOpen_ = false;
-  if (Call == "nodes")
-    Sync.NodesOpen_ = false;
-  Sync.StoreBackoff_ =
-      std::clamp(Sync.StoreBackoff_ * 2, LeastBackoff, MostBackoff);
-  std::uniform_int_distribution<Micros::rep> Jitter(
-      0, Sync.StoreBackoff_.count() / 2);
-  Sync.NextStoreTry_ =
-      Node.Now_ + Sync.StoreBackoff_ + Micros(Jitter(Node.Random_));
-  log(Node, EventNumber::PlatformFailed,
-      {{"call", Call},
-       {"again-in", std::to_string((Sync.NextStoreTry_ - Node.Now_).count())}});
+  log(Node, EventNumber::StoreFailed,
+      {{"call", std::string(storeCallName(Input.Call_))},
+       {"of", std::string(collectionName(Input.Collection_))},
+       {"again-in", std::to_string((Again - Node.Now_).count())}});
 }
 
 void onSyncArrived(NodeState &Node, const SyncArrived &Input) {
--- a/src/engine/work_slots.cpp
+++ b/src/engine/work_slots.cpp
@@ -14,20 +14,17 @@
 constexpr Micros ShortMemory = millis(1000);
 constexpr Micros SweepInterval = millis(5);
 constexpr Micros StartedWorkGrace = millis(60'000);
+constexpr Micros LateAnswerGrace = millis(500);
 
-HttpRequest requestForBackend(const NodeState &Node, const Work &Target) {
-  HttpRequest Sent = Target.Http_;
-  std::erase_if(Sent.Headers_, [](const Header &Field) {
-    return equalsIgnoreCase(Field.Name_, header::Parent) ||
-           equalsIgnoreCase(Field.Name_, header::DeadlineMs);
-  });
-  Micros Left = Target.Deadline_ - Node.Now_;
+DispatchFacts factsFor(const NodeState &Node, const Work &Target) {
   AttemptId Parent{ownName(Node), Node.Config_.Incarnation_, Target.Id_.Value_};
-  Sent.Headers_.push_back({std::string(header::Parent), toString(Parent)});
-  Sent.Headers_.push_back(
-      {std::string(header::DeadlineMs),
-       std::to_string(std::max<std::int64_t>(1, Left.count() / 1000))});
-  return Sent;
+  DispatchFacts Facts;
+  Facts.Parent_ = toString(Parent);
+  Facts.TimeLeft_ = Target.Deadline_ - Node.Now_;
+  Facts.Instance_ = Node.Backend_.Announcement_.Instance_;
+  Facts.CallerService_ = Target.Context_.Caller_;
+  Facts.CallerRequestId_ = Target.Context_.CallerRequestId_;
+  return Facts;
 }
 
 void dispatch(NodeState &Node, const QueuedWork &Item) {
@@ -43,18 +40,22 @@
   Micros Waited = Node.Now_ - Target.Arrived_;
   log(Node, EventNumber::WorkDispatched,
       {{"work", toString(Item.Work_)},
+       {"id", Target.Context_.CallerRequestId_},
        {"waited", std::to_string(Waited.count())},
        {"running", std::to_string(Node.Running_)},
        {"limit", std::to_string(Node.Limit_.limit())},
        {"queued", std::to_string(Node.Queue_.size())}});
   act(Node, Observe{Measure::QueueTime, Waited});
   Micros Patience = std::max(Micros(0), Target.Deadline_ - Node.Now_);
+  // Where the backend server itself stops at the deadline, there is nothing
+  // to wait for beyond it.
   if (!isIdempotent(Target))
-    Patience += StartedWorkGrace;
+    Patience += hasRouteTable(Node) ? LateAnswerGrace : StartedWorkGrace;
   setTimer(Node, Patience, TimerKind::WorkDeadline, Item.Work_.Value_);
   act(Node,
       DispatchWork{Item.Work_, Node.Backend_.Announcement_.Address_,
-                   requestForBackend(Node, Target), !isIdempotent(Target)});
+                   Target.Http_, factsFor(Node, Target),
+                   !isIdempotent(Target)});
 }
 
 // Long work leaves some slots free for short work of at least its importance:
--- a/src/settings/ini.cpp
+++ b/src/settings/ini.cpp
@@ -128,12 +128,13 @@
 }
 
 Checked<std::vector<IniSection>> parseIni(const std::string &File,
-                                          const std::string &Text) {
-  if (Text.size() > MaxSettingsBytes)
+                                          const std::string &Text,
+                                          std::size_t MaxBytes) {
+  if (Text.size() > MaxBytes)
     return Findings{{File, 0, ErrorCode::FileTooLarge,
                      "text has " + std::to_string(Text.size()) +
                          " bytes; the largest is " +
-                         std::to_string(MaxSettingsBytes)}};
+                         std::to_string(MaxBytes)}};
   ReadState State;
   State.File_ = &File;
   State.Text_ = &Text;
--- a/src/settings/key_reader.cpp
+++ b/src/settings/key_reader.cpp
@@ -2,7 +2,9 @@
 
 #include "fulmarshelf/detail/base/ids.hpp" // parseNumber
 
-#include <algorithm> // find
+#include <algorithm>    // find
+#include <charconv>     // from_chars
+#include <system_error> // errc
 
 namespace fulmarshelf {
 
@@ -51,6 +53,29 @@
   return millis(static_cast<std::int64_t>(*Value));
 }
 
+std::optional<double> KeyReader::real(const std::string &Key) {
+  const IniEntry *Entry = find(Key);
+  if (Entry == nullptr || Entry->Value_.empty())
+    return std::nullopt;
+  double Value = 0;
+  const char *End = Entry->Value_.data() + Entry->Value_.size();
+  std::from_chars_result Read =
+      std::from_chars(Entry->Value_.data(), End, Value);
+  if (Read.ec == std::errc() && Read.ptr == End && Value >= 0)
+    return Value;
+  fault(Key, ErrorCode::BadValue,
+        "'" + Key + "' must be a number, not '" + Entry->Value_ + "'");
+  return std::nullopt;
+}
+
+std::optional<Micros> KeyReader::seconds(const std::string &Key) {
+  constexpr double MicrosPerSecond = 1e6;
+  std::optional<double> Value = real(Key);
+  if (!Value)
+    return std::nullopt;
+  return Micros(static_cast<Micros::rep>(*Value * MicrosPerSecond));
+}
+
 std::optional<bool> KeyReader::flag(const std::string &Key) {
   const IniEntry *Entry = find(Key);
   if (Entry == nullptr)
--- a/src/settings/node_settings.cpp
+++ b/src/settings/node_settings.cpp
@@ -32,6 +32,16 @@
   return Result;
 }
 
+Endpoint readOptionalEndpoint(KeyReader &Keys, const std::string &Key) {
+  std::optional<std::string> Text = Keys.text(Key);
+  Endpoint Result;
+  if (Text && !parseEndpoint(*Text, Result))
+    Keys.fault(Key, ErrorCode::BadValue,
+               "'" + Key + "' must be an IP number and a port, not '" + *Text +
+                   "'");
+  return Result;
+}
+
 void readNode(KeyReader &Keys, NodeSettings &Result) {
   for (const char *Key : {"name", "failure-domain", "region"})
     Keys.require(Key);
@@ -54,6 +64,7 @@
     Keys.fault("peers-advertised", ErrorCode::BadValue,
                "'peers-advertised' must be an IP number and a port, not '" +
                    *Advertised + "'");
+  Result.MetricsAddress_ = readOptionalEndpoint(Keys, "metrics");
 }
 
 void readPlatform(KeyReader &Keys, NodeSettings &Result) {
@@ -82,6 +93,26 @@
   return Default;
 }
 
+void readInterface(KeyReader &Keys, NodeSettings &Result) {
+  Result.Interface_ = readChoice<InterfaceKind>(
+      Keys, "kind",
+      {{"own", InterfaceKind::Own}, {"platform", InterfaceKind::Platform}},
+      InterfaceKind::Own);
+  Result.Service_ = Keys.text("service").value_or("");
+  Result.Backend_ = readOptionalEndpoint(Keys, "backend-server");
+}
+
+// A bound that the deployment does not set is rendered as an empty value; its
+// default then holds.
+void readBounds(KeyReader &Keys, NodeSettings &Result) {
+  MeshBounds &Bounds = Result.Bounds_;
+  Bounds.GraceTime_ = Keys.seconds("grace-s").value_or(Bounds.GraceTime_);
+  Bounds.RepeatRatio_ = Keys.real("repeat-ratio").value_or(Bounds.RepeatRatio_);
+  Bounds.RepeatWindow_ =
+      Keys.seconds("repeat-window-s").value_or(Bounds.RepeatWindow_);
+  Bounds.RepeatSlack_ = Keys.real("repeat-slack").value_or(Bounds.RepeatSlack_);
+}
+
 void readLog(KeyReader &Keys, NodeSettings &Result) {
   Result.LogFile_ = Keys.text("file").value_or("");
   Result.LogLevel_ = readChoice<LogLevel>(Keys, "level",
@@ -141,6 +172,8 @@
       {"node", &readNode},
       {"addresses", &readAddresses},
       {"platform", &readPlatform},
+      {"interface", &readInterface},
+      {"bounds", &readBounds},
       {"log", &readLog},
       {"policy", &readPolicy}};
   Checked<std::vector<IniSection>> Sections = parseIni(File, Text);
--- a/src/settings/registry.cpp
+++ b/src/settings/registry.cpp
@@ -24,7 +24,7 @@
              Route.Methods_.end();
 }
 
-const RouteRules *findRoute(const TeamSettings &Settings,
+const RouteRules *findRouteRules(const TeamSettings &Settings,
                             const std::string &Service,
                             const std::string &Method, std::string_view Path) {
   std::string_view Rest =
@@ -70,15 +70,17 @@
 
 } // namespace
 
-EffectiveRules effectiveRules(const TeamSettings &Settings,
+EffectiveRules effectiveRules(const CallRules &Base,
+                              const TeamSettings &Settings,
                               const std::string &Service,
                               const std::string &Method, std::string_view Path,
                               const std::string &Caller) {
-  CallRules Rules = Settings.Defaults_;
+  CallRules Rules = Base;
+  overlayRules(Rules, Settings.Defaults_);
   for (const ServiceRules &Entry : Settings.ServiceRules_)
     if (Entry.Service_ == Service)
       overlayRules(Rules, Entry.Rules_);
-  if (const RouteRules *Route = findRoute(Settings, Service, Method, Path))
+  if (const RouteRules *Route = findRouteRules(Settings, Service, Method, Path))
     overlayRules(Rules, Route->Rules_);
   applyCaller(Settings, Caller, Rules);
   EffectiveRules Result;
@@ -96,7 +98,12 @@
     return ApplyResult::NotNewer;
   Subtree Next;
   Next.Version_ = Offered;
-  if (!Offered.Deleted_) {
+  if (Offered.Path_ == RouteTablePath) {
+    Checked<RouteTable> Parsed = parseRouteTable(Offered.Path_, Offered.Text_);
+    if (!Parsed)
+      return ApplyResult::Faulty;
+    Routes_ = Parsed.value();
+  } else if (!Offered.Deleted_) {
     Checked<TeamSettings> Parsed =
         parseTeamSettings(Offered.Path_, Offered.Text_);
     if (!Parsed)
@@ -141,12 +148,42 @@
     return std::nullopt;
   const Subtree &Team = Subtrees_.at(Found->second);
   EffectiveRules Result =
-      effectiveRules(Team.Settings_, Service, Method, Path, Caller);
+      effectiveRules({}, Team.Settings_, Service, Method, Path, Caller);
   Result.Team_ = Found->second;
   Result.Version_ = Team.Version_.Version_;
   return Result;
 }
 
+// A team may shorten the wait that the route allows, never stretch it, and the
+// number of backend servers that may run a request is the route's alone.
+EffectiveRules SettingsRegistry::effective(const Route &Matched,
+                                           const std::string &Service,
+                                           const std::string &Method,
+                                           std::string_view Path,
+                                           const std::string &Caller) const {
+  CallRules Base;
+  Base.Importance_ = Matched.Importance_;
+  Base.Idempotent_ = Matched.Idempotent_;
+  Base.Patience_ = Matched.Timeout_;
+  Base.Retries_ = Matched.Attempts_ - 1;
+  auto Team = TeamOfService_.find(Service);
+  static const TeamSettings NoTeam;
+  EffectiveRules Result = effectiveRules(
+      Base,
+      Team == TeamOfService_.end() ? NoTeam
+                                   : Subtrees_.at(Team->second).Settings_,
+      Service, Method, Path, Caller);
+  Result.Idempotent_ = Matched.Idempotent_;
+  Result.Patience_ = std::min(Result.Patience_, Matched.Timeout_);
+  Result.Retries_ = std::min(Result.Retries_, Matched.Attempts_ - 1);
+  Result.Target_ = Matched.Target_;
+  if (Routes_)
+    Result.MaxBody_ = Routes_->Limits_.BodyBytes_;
+  Result.Team_ = Team == TeamOfService_.end() ? "" : Team->second;
+  Result.Version_ = versionOf(std::string(RouteTablePath));
+  return Result;
+}
+
 // When two teams name one service, the first path in order keeps it, so that
 // all nodes agree without asking each other.
 void SettingsRegistry::rebuildIndex() {
--- /dev/null
+++ b/src/settings/route_table.cpp
@@ -0,0 +1,189 @@
+#include "fulmarshelf/detail/settings/route_table.hpp"
+
+#include "fulmarshelf/detail/base/ids.hpp"            // parseNumber
+#include "fulmarshelf/detail/settings/ini.hpp"        // parseIni
+#include "fulmarshelf/detail/settings/key_reader.hpp" // KeyReader
+
+#include <algorithm> // any_of
+#include <sstream>   // ostringstream
+
+namespace fulmarshelf {
+
+namespace {
+
+constexpr unsigned MaxImportance = 9;
+constexpr unsigned MaxAttempts = 100;
+constexpr std::uint64_t MaxMillis = 3'600'000; // one hour
+constexpr std::uint64_t MaxWeight = 1'000'000;
+constexpr std::uint64_t MaxConnections = 1'000'000;
+constexpr std::uint64_t MaxHeaderBytes = std::uint64_t{1024} * 1024;
+constexpr std::uint64_t MaxBodyBytes = std::uint64_t{1} << 40;
+// The store's largest object; a table read from one is about as long.
+constexpr std::size_t MaxTableBytes = std::size_t{2} * 1024 * 1024;
+
+std::vector<ServiceShare> readShares(KeyReader &Keys) {
+  std::vector<ServiceShare> Result;
+  Keys.require("services");
+  for (const std::string &Item : Keys.list("services")) {
+    std::size_t Colon = Item.rfind(':');
+    std::uint64_t Weight = 1;
+    bool Good = Colon == std::string::npos ||
+                (parseNumber(Item.substr(Colon + 1), Weight) &&
+                 Weight <= MaxWeight);
+    if (Good)
+      Result.push_back(
+          {Item.substr(0, Colon), static_cast<std::uint32_t>(Weight)});
+    else
+      Keys.fault("services", ErrorCode::BadValue,
+                 "'" + Item + "' is not a service with a weight");
+  }
+  bool AnyWeight = std::any_of(
+      Result.begin(), Result.end(),
+      [](const ServiceShare &Share) { return Share.Weight_ > 0; });
+  if (!Result.empty() && !AnyWeight)
+    Keys.fault("services", ErrorCode::BadValue, "all weights are 0");
+  return Result;
+}
+
+Route readRoute(KeyReader &Keys) {
+  Route Result;
+  for (const char *Key : {"host", "prefix", "timeout-ms"})
+    Keys.require(Key);
+  Result.Host_ = Keys.text("host").value_or("");
+  Result.Prefix_ = Keys.text("prefix").value_or("/");
+  if (Result.Prefix_.front() != '/' || Result.Prefix_.back() != '/')
+    Keys.fault("prefix", ErrorCode::BadValue,
+               "'prefix' must begin and end with a slash");
+  Result.Services_ = readShares(Keys);
+  Result.Idempotent_ = Keys.flag("idempotent").value_or(true);
+  Result.Timeout_ = Keys.duration("timeout-ms", 1, MaxMillis).value_or(Micros(0));
+  Result.Target_ =
+      Keys.duration("target-ms", 1, MaxMillis).value_or(Result.Timeout_);
+  Result.Importance_ = static_cast<unsigned>(
+      Keys.number("importance", 0, MaxImportance).value_or(0));
+  Result.Attempts_ = static_cast<unsigned>(
+      Keys.number("attempts", 1, MaxAttempts).value_or(1));
+  return Result;
+}
+
+ServiceEntry readService(KeyReader &Keys, const std::string &Name) {
+  ServiceEntry Result;
+  Result.Name_ = Name;
+  Result.HealthPath_ = Keys.text("health-path").value_or("/health");
+  Result.Connections_ = static_cast<std::uint32_t>(
+      Keys.number("connections", 0, MaxConnections).value_or(0));
+  return Result;
+}
+
+CallerLimits readLimits(KeyReader &Keys) {
+  CallerLimits Result;
+  Result.HeaderBytes_ = static_cast<std::uint32_t>(
+      Keys.number("header-bytes", 1, MaxHeaderBytes)
+          .value_or(Result.HeaderBytes_));
+  Result.BodyBytes_ =
+      Keys.number("body-bytes", 0, MaxBodyBytes).value_or(Result.BodyBytes_);
+  Result.HeaderTimeout_ = Keys.duration("header-timeout-ms", 1, MaxMillis)
+                              .value_or(Result.HeaderTimeout_);
+  Result.IdleTimeout_ = Keys.duration("idle-timeout-ms", 1, MaxMillis)
+                            .value_or(Result.IdleTimeout_);
+  return Result;
+}
+
+void readSection(KeyReader &Keys, const std::string &Name, RouteTable &Result) {
+  constexpr std::string_view RoutePrefix = "route ";
+  constexpr std::string_view ServicePrefix = "service ";
+  if (Name.starts_with(RoutePrefix))
+    Result.Routes_.push_back(readRoute(Keys));
+  else if (Name.starts_with(ServicePrefix))
+    Result.Services_.push_back(
+        readService(Keys, Name.substr(ServicePrefix.size())));
+  else if (Name == "limits")
+    Result.Limits_ = readLimits(Keys);
+  else
+    Keys.fault("", ErrorCode::UnknownSection,
+               "section [" + Name + "] is not known");
+  Keys.finish();
+}
+
+void formatRoute(std::ostringstream &Out, const Route &Value) {
+  Out << "host = " << Value.Host_ << "\nprefix = " << Value.Prefix_
+      << "\nservices = ";
+  const char *Separator = "";
+  for (const ServiceShare &Share : Value.Services_) {
+    Out << Separator << Share.Service_ << ':' << Share.Weight_;
+    Separator = ", ";
+  }
+  Out << "\nidempotent = " << (Value.Idempotent_ ? "yes" : "no")
+      << "\ntimeout-ms = " << Value.Timeout_.count() / 1000
+      << "\ntarget-ms = " << Value.Target_.count() / 1000
+      << "\nimportance = " << Value.Importance_
+      << "\nattempts = " << Value.Attempts_ << '\n';
+}
+
+} // namespace
+
+const Route *findRoute(const RouteTable &Table, std::string_view Host,
+                       std::string_view Path) {
+  const Route *Best = nullptr;
+  for (const Route &Item : Table.Routes_) {
+    bool Longer =
+        Best == nullptr || Item.Prefix_.size() > Best->Prefix_.size();
+    if (Longer && Item.Host_ == Host && Path.starts_with(Item.Prefix_))
+      Best = &Item;
+  }
+  return Best;
+}
+
+const ServiceEntry *findService(const RouteTable &Table,
+                                std::string_view Service) {
+  for (const ServiceEntry &Item : Table.Services_)
+    if (Item.Name_ == Service)
+      return &Item;
+  return nullptr;
+}
+
+std::string routeName(const Route &Value) {
+  return Value.Host_ + Value.Prefix_;
+}
+
+std::string formatRouteTable(const RouteTable &Table) {
+  std::ostringstream Out;
+  Out << "[limits]\nheader-bytes = " << Table.Limits_.HeaderBytes_
+      << "\nbody-bytes = " << Table.Limits_.BodyBytes_
+      << "\nheader-timeout-ms = " << Table.Limits_.HeaderTimeout_.count() / 1000
+      << "\nidle-timeout-ms = " << Table.Limits_.IdleTimeout_.count() / 1000
+      << '\n';
+  for (const ServiceEntry &Item : Table.Services_)
+    Out << "[service " << Item.Name_ << "]\nhealth-path = " << Item.HealthPath_
+        << "\nconnections = " << Item.Connections_ << '\n';
+  std::size_t Number = 0;
+  for (const Route &Item : Table.Routes_) {
+    Out << "[route " << ++Number << "]\n";
+    formatRoute(Out, Item);
+  }
+  return Out.str();
+}
+
+Checked<RouteTable> parseRouteTable(const std::string &File,
+                                    const std::string &Text) {
+  Checked<std::vector<IniSection>> Sections = parseIni(File, Text, MaxTableBytes);
+  if (!Sections)
+    return Sections.error();
+  RouteTable Result;
+  Findings Faults;
+  for (const IniSection &Section : Sections.value()) {
+    KeyReader Keys(File, Section, Faults);
+    readSection(Keys, Section.Name_, Result);
+  }
+  for (const Route &Item : Result.Routes_)
+    for (const ServiceShare &Share : Item.Services_)
+      if (findService(Result, Share.Service_) == nullptr)
+        Faults.push_back({File, 0, ErrorCode::UnknownService,
+                          "route " + routeName(Item) + " names service '" +
+                              Share.Service_ + "', which has no section"});
+  if (!Faults.empty())
+    return Faults;
+  return Result;
+}
+
+} // namespace fulmarshelf
--- a/src/shell/announcement_codec.cpp
+++ b/src/shell/announcement_codec.cpp
@@ -1,4 +1,4 @@
-#include "fulmarshelf/detail/shell/node_shell.hpp" // parseAnnouncement
+#include "fulmarshelf/detail/shell/announcement_codec.hpp"
 
 #include <nlohmann/json.hpp> // json
 
--- /dev/null
+++ b/src/shell/dialect.cpp
@@ -0,0 +1,63 @@
+#include "fulmarshelf/detail/shell/dialect.hpp"
+
+#include "fulmarshelf/detail/engine/answers.hpp"     // toResponse
+#include "fulmarshelf/detail/shell/announcement_codec.hpp" // parseAnnouncement
+#include "fulmarshelf/detail/wire/own_interface.hpp" // ownRequestFacts
+
+#include <utility> // move
+
+namespace fulmarshelf {
+
+namespace {
+
+const std::string AnnouncePath = "/_fulmarshelf/announce";
+
+HttpResponse textPage(std::uint16_t Status, std::string Body) {
+  return {Status, {{"Content-Type", "text/plain"}}, std::move(Body)};
+}
+
+} // namespace
+
+IncomingRequest OwnDialect::decodeRequest(HttpRequest Request) const {
+  RequestFacts Facts = ownRequestFacts(Request);
+  return {std::move(Request), std::move(Facts)};
+}
+
+HttpRequest OwnDialect::encodeDispatch(const DispatchWork &Wanted) const {
+  return ownDispatch(Wanted.Request_, Wanted.Facts_);
+}
+
+AnswerFacts OwnDialect::decodeAnswer(const HttpResponse &Response) const {
+  return ownAnswerFacts(Response);
+}
+
+bool OwnDialect::isAnswerTo(const HttpRequest &, const HttpResponse &) const {
+  return true;
+}
+
+HttpResponse OwnDialect::encodeAnswer(const AnswerCaller &Wanted) const {
+  return toResponse(Wanted.Reply_, Wanted.Ticket_);
+}
+
+BackendNotice OwnDialect::decodeNotice(const HttpRequest &Request) const {
+  if (Request.Target_ != AnnouncePath)
+    return NoNotice{};
+  Announcement Told;
+  if (Request.Method_ != "POST" || !parseAnnouncement(Request.Body_, Told))
+    return MalformedNotice{"it needs service, address, slots, connections"};
+  return BackendAnnounced{Told, std::nullopt, Micros(0)};
+}
+
+HttpResponse OwnDialect::encodeNoticeAnswer(const BackendNotice &Notice) const {
+  if (const MalformedNotice *Bad = std::get_if<MalformedNotice>(&Notice))
+    return textPage(400, "announcement is malformed; " + Bad->Detail_ + "\n");
+  return textPage(200, "announced\n");
+}
+
+Dialect makeDialect(const NodeSettings &Settings) {
+  if (Settings.Interface_ == InterfaceKind::Platform)
+    return PlatformDialect{Settings.Service_, Settings.Backend_};
+  return OwnDialect{};
+}
+
+} // namespace fulmarshelf
--- a/src/shell/event_writer.cpp
+++ b/src/shell/event_writer.cpp
@@ -1,32 +1,121 @@
 #include "fulmarshelf/detail/shell/event_writer.hpp"
 
-#include <boost/log/core.hpp>                            // core
-#include <boost/log/expressions.hpp>                     // stream, smessage
-#include <boost/log/sources/logger.hpp>                  // logger
-#include <boost/log/sources/record_ostream.hpp>          // BOOST_LOG
-#include <boost/log/support/date_time.hpp>               // format_date_time
-#include <boost/log/utility/setup/common_attributes.hpp> // add_common_...
-#include <boost/log/utility/setup/console.hpp>           // add_console_log
-#include <boost/log/utility/setup/file.hpp>              // add_file_log
-
-#include <iostream> // clog
-#include <utility>  // move
+#include <boost/log/core.hpp>                         // core
+#include <boost/log/expressions.hpp>                  // smessage
+#include <boost/log/sinks/basic_sink_backend.hpp>     // basic_formatted_sink...
+#include <boost/log/sinks/sync_frontend.hpp>          // synchronous_sink
+#include <boost/log/sources/logger.hpp>               // logger
+#include <boost/log/sources/record_ostream.hpp>       // BOOST_LOG
+#include <boost/log/utility/setup/file.hpp>           // add_file_log
+#include <boost/make_shared.hpp>                      // make_shared
+
+#include <fcntl.h>  // fcntl
+#include <unistd.h> // write
+
+#include <array>   // array
+#include <chrono>  // system_clock
+#include <cstdio>  // snprintf
+#include <ctime>   // gmtime_r
+#include <utility> // move
 
 namespace fulmarshelf {
 
 namespace {
 
 namespace log_ns = boost::log;
-namespace expr = boost::log::expressions;
 
 constexpr unsigned FirstChangeEvent = 1307;
 constexpr unsigned FirstLifeEvent = 1700;
+// Lines a second. With lines of about 200 bytes both together stay below
+// 150 KB/s, which a slow terminal or collector still takes.
+constexpr unsigned OrdinaryLines = 400;
+constexpr unsigned ImportantLines = 300;
+// A reader that stops for some seconds at the full rate misses nothing.
+constexpr std::size_t MaxBufferedBytes = std::size_t{512} * 1024;
+
+// Standard output behind a bounded buffer.
+class StandardOutput
+    : public log_ns::sinks::basic_formatted_sink_backend<char> {
+public:
+  void consume(const log_ns::record_view &, const string_type &Line) {
+    if (Waiting_.size() + Line.size() + 1 > MaxBufferedBytes) {
+      ++Dropped_;
+      return;
+    }
+    Waiting_ += Line;
+    Waiting_ += '\n';
+  }
+
+  // Writes what the system takes without waiting.
+  void drain() {
+    while (!Waiting_.empty()) {
+      ssize_t Count = ::write(STDOUT_FILENO, Waiting_.data(), Waiting_.size());
+      if (Count <= 0)
+        return;
+      Waiting_.erase(0, static_cast<std::size_t>(Count));
+    }
+  }
+
+  std::uint64_t takeDropped() { return std::exchange(Dropped_, 0); }
+
+private:
+  std::string Waiting_;
+  std::uint64_t Dropped_ = 0;
+};
+
+boost::shared_ptr<StandardOutput> &standardOutput() {
+  static boost::shared_ptr<StandardOutput> Backend;
+  return Backend;
+}
 
 log_ns::sources::logger &logger() {
   static log_ns::sources::logger Logger;
   return Logger;
 }
 
+std::int64_t microsNow() {
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+// `2026-12-04T10:11:12.131415Z`; the part up to the second is kept, since most
+// lines fall into the same second as the one before.
+std::string timeText(std::int64_t Micros) {
+  static std::int64_t KeptSecond = -1;
+  static std::string KeptText;
+  std::int64_t Second = Micros / 1'000'000;
+  if (Second != KeptSecond) {
+    std::time_t Whole = static_cast<std::time_t>(Second);
+    std::tm Parts{};
+    gmtime_r(&Whole, &Parts);
+    std::array<char, 32> Text{};
+    std::strftime(Text.data(), Text.size(), "%Y-%m-%dT%H:%M:%S.", &Parts);
+    KeptText = Text.data();
+    KeptSecond = Second;
+  }
+  std::array<char, 16> Fraction{};
+  std::snprintf(Fraction.data(), Fraction.size(), "%06dZ",
+                static_cast<int>(Micros % 1'000'000));
+  return KeptText + Fraction.data();
+}
+
+// Refusals, failures and changes of what the node believes.
+bool isImportant(EventNumber Event) {
+  switch (Event) {
+  case EventNumber::RequestRefused:
+  case EventNumber::NoOwnerAccepts:
+  case EventNumber::RetryStarted:
+  case EventNumber::RetryDenied:
+  case EventNumber::WorkEvicted:
+  case EventNumber::WorkRefused:
+  case EventNumber::WorkCancelled:
+    return true;
+  default:
+    return static_cast<unsigned>(Event) >= FirstChangeEvent;
+  }
+}
+
 } // namespace
 
 bool isLogged(EventNumber Event, LogLevel Level) {
@@ -42,37 +131,74 @@
   return true;
 }
 
+bool LineBudget::take(EventNumber Event, std::int64_t Second) {
+  if (Second != Second_) {
+    Second_ = Second;
+    Ordinary_ = 0;
+    Important_ = 0;
+  }
+  bool Important = isImportant(Event);
+  unsigned &Used = Important ? Important_ : Ordinary_;
+  if (Used >= (Important ? ImportantLines : OrdinaryLines)) {
+    ++Omitted_;
+    return false;
+  }
+  ++Used;
+  return true;
+}
+
+std::uint64_t LineBudget::takeOmitted() { return std::exchange(Omitted_, 0); }
+
 EventWriter::EventWriter(std::string Node, const std::string &File,
                          LogLevel Level)
     : Node_(std::move(Node)), Level_(Level) {
-  auto Format = expr::stream
-                << expr::format_date_time<boost::posix_time::ptime>(
-                       "TimeStamp", "%Y-%m-%dT%H:%M:%S.%fZ")
-                << ' ' << expr::smessage;
-  log_ns::core::get()->add_global_attribute("TimeStamp",
-                                            log_ns::attributes::utc_clock());
-  if (File.empty())
-    log_ns::add_console_log(std::clog, log_ns::keywords::format = Format);
-  else
+  if (!File.empty()) {
     log_ns::add_file_log(log_ns::keywords::file_name = File,
                          log_ns::keywords::open_mode = std::ios::app,
-                         log_ns::keywords::format = Format,
+                         log_ns::keywords::format = "%Message%",
                          log_ns::keywords::auto_flush = false);
+    return;
+  }
+  int Flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+  if (Flags >= 0)
+    ::fcntl(STDOUT_FILENO, F_SETFL, Flags | O_NONBLOCK);
+  using Sink = log_ns::sinks::synchronous_sink<StandardOutput>;
+  standardOutput() = boost::make_shared<StandardOutput>();
+  boost::shared_ptr<Sink> Front = boost::make_shared<Sink>(standardOutput());
+  Front->set_formatter(log_ns::expressions::stream
+                       << log_ns::expressions::smessage);
+  log_ns::core::get()->add_sink(Front);
 }
 
 EventWriter::~EventWriter() {
-  log_ns::core::get()->flush();
+  flush();
   log_ns::core::get()->remove_all_sinks();
+  standardOutput().reset();
+}
+
+void EventWriter::writeLine(EventNumber Event, const std::string &Text) {
+  BOOST_LOG(logger()) << timeText(microsNow()) << " node=" << Node_
+                      << " event=" << static_cast<unsigned>(Event) << ' '
+                      << eventName(Event) << ' ' << Text;
 }
 
 void EventWriter::write(const LogRecord &Record) {
   if (!isLogged(Record.Event_, Level_))
     return;
-  BOOST_LOG(logger()) << "node=" << Node_
-                      << " event=" << static_cast<unsigned>(Record.Event_)
-                      << ' ' << eventName(Record.Event_) << ' ' << Record.Text_;
+  if (Budget_.take(Record.Event_, microsNow() / 1'000'000))
+    writeLine(Record.Event_, Record.Text_);
 }
 
-void EventWriter::flush() { log_ns::core::get()->flush(); }
+void EventWriter::flush() {
+  std::uint64_t Omitted = Budget_.takeOmitted();
+  if (standardOutput())
+    Omitted += standardOutput()->takeDropped();
+  if (Omitted > 0)
+    writeLine(EventNumber::LinesOmitted, "count=" + std::to_string(Omitted));
+  if (standardOutput())
+    standardOutput()->drain();
+  else
+    log_ns::core::get()->flush();
+}
 
 } // namespace fulmarshelf
--- a/src/shell/http_caller.cpp
+++ b/src/shell/http_caller.cpp
@@ -4,6 +4,14 @@
 
 namespace fulmarshelf {
 
+namespace {
+
+// Servers that do not tell keep idle connections for at least five seconds
+// (the shortest default among common ones).
+constexpr std::chrono::milliseconds DefaultIdleTime{4000};
+
+} // namespace
+
 HttpCaller::HttpCaller(boost::asio::io_context &Context,
                        const HttpLimits &Limits, std::size_t MaxIdle,
                        Handler OnDone)
@@ -14,7 +22,9 @@
                     [this](ConnectionId Source, std::string_view Bytes) {
                       onBytes(Source, Bytes);
                     },
-                    [this](ConnectionId Source) { onClosed(Source); }}) {}
+                    [this](ConnectionId Source, ConnectionEnd How) {
+                      onClosed(Source, How);
+                    }}) {}
 
 HttpCallId HttpCaller::call(const Endpoint &Peer, HttpRequest Request,
                             const HttpCallOptions &Options) {
@@ -34,20 +44,35 @@
       finish(Fresh, HttpFailure{NeverSent});
     });
   }
-  std::vector<ConnectionId> &Idle = Idle_[Peer];
-  if (!Idle.empty() && !Options.FreshConnection_) {
-    Entry.Connection_ = Idle.back();
-    Idle.pop_back();
-    Clients_.at(Entry.Connection_).Call_ = Fresh;
+  Entry.Matches_ = Options.Matches_;
+  std::optional<ConnectionId> Kept;
+  if (!Options.FreshConnection_)
+    Kept = takeIdle(Peer);
+  if (Kept) {
+    Entry.Connection_ = *Kept;
+    Clients_.at(*Kept).Call_ = Fresh;
     send(Fresh);
     return Fresh;
   }
   Entry.Connection_ = Connections_.connect(Peer, Options.ConnectTimeout_);
-  Clients_.emplace(Entry.Connection_,
-                   Client{HttpClientSession(Limits_), Fresh, Peer});
+  Clients_.emplace(Entry.Connection_, Client{HttpClientSession(Limits_), Fresh,
+                                             Peer, {}, false});
   return Fresh;
 }
 
+// The kept connection that was used last, unless the peer may be closing it.
+std::optional<ConnectionId> HttpCaller::takeIdle(const Endpoint &Peer) {
+  std::vector<ConnectionId> &Idle = Idle_[Peer];
+  while (!Idle.empty()) {
+    ConnectionId Last = Idle.back();
+    Idle.pop_back();
+    if (std::chrono::steady_clock::now() < Clients_.at(Last).IdleUntil_)
+      return Last;
+    drop(Last);
+  }
+  return std::nullopt;
+}
+
 void HttpCaller::cancel(HttpCallId Target) {
   auto Found = Calls_.find(Target);
   if (Found == Calls_.end())
@@ -75,13 +100,24 @@
   auto Found = Clients_.find(Source);
   if (Found == Clients_.end())
     return;
+  Client &Entry = Found->second;
   HttpResponse Response;
-  HttpCallId Answered = Found->second.Call_;
-  switch (Found->second.Http_.receive(Bytes, Response)) {
+  HttpCallId Answered = Entry.Call_;
+  ClientResult Result = Entry.Http_.receive(Bytes, Response);
+  auto Asked = Calls_.find(Answered);
+  while (Result == ClientResult::Answered && Asked != Calls_.end() &&
+         Asked->second.Matches_ &&
+         !Asked->second.Matches_(Asked->second.Request_, Response)) {
+    Entry.Suspicious_ = true;
+    Result = Entry.Http_.skipAnswer(Response);
+  }
+  switch (Result) {
   case ClientResult::Waiting:
     return;
   case ClientResult::Answered:
-    if (Found->second.Http_.isReusable())
+    // What is left of the request must not be read as the next one.
+    if (Entry.Http_.isReusable() && !Entry.Suspicious_ &&
+        Connections_.backlog(Source) == 0)
       keep(Source);
     else
       drop(Source);
@@ -94,18 +130,25 @@
   }
 }
 
-void HttpCaller::onClosed(ConnectionId Source) {
+void HttpCaller::onClosed(ConnectionId Source, ConnectionEnd How) {
   auto Found = Clients_.find(Source);
   if (Found == Clients_.end())
     return;
   HttpCallId Ended = Found->second.Call_;
   HttpResponse Response;
-  ClientResult Last = Found->second.Http_.end(Response);
+  // An answer without a length ends with its connection, but only a clean end
+  // says that it is whole.
+  ClientResult Last = How == ConnectionEnd::Finished
+                          ? Found->second.Http_.end(Response)
+                          : ClientResult::Broken;
   drop(Source);
   auto Call = Calls_.find(Ended);
   if (Call == Calls_.end())
     return;
-  if (Last == ClientResult::Answered)
+  bool Right = Last == ClientResult::Answered &&
+               (!Call->second.Matches_ ||
+                Call->second.Matches_(Call->second.Request_, Response));
+  if (Right)
     finish(Ended, Response);
   else
     finish(Ended, HttpFailure{!Call->second.Sent_});
@@ -124,6 +167,8 @@
 void HttpCaller::keep(ConnectionId Target) {
   Client &Entry = Clients_.at(Target);
   Entry.Call_ = HttpCallId{0};
+  Entry.IdleUntil_ = std::chrono::steady_clock::now() +
+                     Entry.Http_.idleTime().value_or(DefaultIdleTime);
   std::vector<ConnectionId> &Idle = Idle_[Entry.Peer_];
   if (Idle.size() < MaxIdle_)
     Idle.push_back(Target);
--- a/src/shell/http_service.cpp
+++ b/src/shell/http_service.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr unsigned KeySpaceShift = 56;
+constexpr std::chrono::milliseconds SweepInterval{1000};
 
 } // namespace
 
@@ -21,16 +22,23 @@
                     [this](ConnectionId Source, std::string_view Bytes) {
                       onBytes(Source, Bytes);
                     },
-                    [this](ConnectionId Source) { onClosed(Source); }}),
+                    [this](ConnectionId Source, ConnectionEnd) {
+                      onClosed(Source);
+                    }}),
       Listener_(Context, Place, [this](boost::asio::ip::tcp::socket Socket) {
         accept(std::move(Socket));
-      }) {}
+      }),
+      SweepTimer_(Context) {}
 
 void HttpService::accept(boost::asio::ip::tcp::socket Socket) {
   if (Exchanges_.size() >= MaxConnections_)
     return; // the socket closes as it goes out of scope
   ConnectionId Fresh = Connections_.adopt(std::move(Socket));
-  Exchanges_.emplace(Fresh, Exchange{HttpServerSession(Limits_), {}});
+  auto Now = std::chrono::steady_clock::now();
+  auto Entry = Exchanges_.emplace(
+      Fresh, Exchange{HttpServerSession(Limits_), {}, Now, Now, false});
+  if (Closing_)
+    Entry.first->second.Http_.closeAfterAnswer();
 }
 
 void HttpService::onBytes(ConnectionId Source, std::string_view Bytes) {
@@ -41,10 +49,64 @@
   advance(Source);
 }
 
+void HttpService::noteReading(Exchange &Entry) {
+  bool Reading = Entry.Http_.isReading();
+  if (Reading && !Entry.Reading_)
+    Entry.ReadingSince_ = std::chrono::steady_clock::now();
+  Entry.Reading_ = Reading;
+}
+
+void HttpService::setLimits(const HttpLimits &Limits,
+                            std::chrono::milliseconds IdleTimeout,
+                            std::chrono::milliseconds RequestTimeout) {
+  bool Armed = IdleTimeout_.count() > 0;
+  Limits_ = Limits;
+  IdleTimeout_ = IdleTimeout;
+  RequestTimeout_ = RequestTimeout;
+  for (std::pair<const ConnectionId, Exchange> &Entry : Exchanges_)
+    Entry.second.Http_.setLimits(Limits);
+  if (!Armed && IdleTimeout.count() > 0)
+    armSweep();
+}
+
+void HttpService::armSweep() {
+  SweepTimer_.expires_after(SweepInterval);
+  SweepTimer_.async_wait([this](boost::system::error_code Error) {
+    if (Error)
+      return;
+    sweep();
+    armSweep();
+  });
+}
+
+// Closes connections that were idle, or slow with a request, for too long.
+void HttpService::sweep() {
+  auto Now = std::chrono::steady_clock::now();
+  std::vector<ConnectionId> Ended;
+  for (const std::pair<const ConnectionId, Exchange> &Item : Exchanges_) {
+    const Exchange &Entry = Item.second;
+    bool Idle = !Entry.Reading_ && Now - Entry.QuietSince_ > IdleTimeout_;
+    bool Slow = Entry.Reading_ && Now - Entry.ReadingSince_ > RequestTimeout_;
+    if (!Entry.Http_.isBusy() && (Idle || Slow))
+      Ended.push_back(Item.first);
+  }
+  for (ConnectionId Target : Ended) {
+    Exchanges_.erase(Target);
+    Connections_.close(Target);
+  }
+}
+
+void HttpService::closeAfterAnswers() {
+  Closing_ = true;
+  for (std::pair<const ConnectionId, Exchange> &Entry : Exchanges_)
+    Entry.second.Http_.closeAfterAnswer();
+}
+
 void HttpService::advance(ConnectionId Source) {
   Exchange &Entry = Exchanges_.at(Source);
   HttpRequest Request;
   bool Ready = Entry.Http_.nextRequest(Request);
+  noteReading(Entry);
   Connections_.write(Source, Entry.Http_.takeOutput());
   if (Ready) {
     CallerKey Caller{++LastKey_};
@@ -79,6 +141,7 @@
   Callers_.erase(Found);
   Exchange &Entry = Exchanges_.at(Target);
   Entry.Caller_.reset();
+  Entry.QuietSince_ = std::chrono::steady_clock::now();
   Entry.Http_.respond(Response);
   advance(Target);
 }
--- a/src/shell/node_shell.cpp
+++ b/src/shell/node_shell.cpp
@@ -1,6 +1,6 @@
 #include "fulmarshelf/detail/shell/node_shell.hpp"
 
-#include "fulmarshelf/detail/shell/platform_codec.hpp" // listRequest
+#include "fulmarshelf/detail/shell/announcement_codec.hpp" // queryValue
 
 #include <nlohmann/json.hpp> // json
 
@@ -19,20 +19,27 @@
 constexpr std::uint64_t CallerKeySpace = 1;
 constexpr std::uint64_t BackendKeySpace = 2;
 constexpr std::uint64_t OperatorKeySpace = 3;
+constexpr std::uint64_t MetricsKeySpace = 4;
 constexpr std::chrono::milliseconds BackendConnectTimeout{500};
-constexpr std::chrono::milliseconds PlatformTimeout{5'000};
-constexpr unsigned WatchMs = 25'000;
 constexpr std::chrono::milliseconds LogFlushInterval{200};
-constexpr std::uint64_t MaxPlatformBody = std::uint64_t{16} * 1024 * 1024;
-
-const std::string AnnouncePath = "/_fulmarshelf/announce";
-
-HttpLimits platformLimits() {
+constexpr std::chrono::milliseconds IdleMargin{1000};
+// An answer larger than this is no answer of an ordinary backend server; it
+// must not fill the memory of the node beside it.
+constexpr std::uint64_t MaxAnswerBytes = std::uint64_t{16} * 1024 * 1024;
+// The largest request that is held whole, whatever the routes allow.
+constexpr std::uint64_t MaxRequestBytes = std::uint64_t{8} * 1024 * 1024;
+
+HttpLimits answerLimits() {
   HttpLimits Limits;
-  Limits.BodyBytes_ = MaxPlatformBody;
+  Limits.HeaderBytes_ = 64 * 1024;
+  Limits.BodyBytes_ = MaxAnswerBytes;
   return Limits;
 }
 
+std::chrono::milliseconds inMillis(Micros Value) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Value);
+}
+
 HttpResponse textPage(std::uint16_t Status, std::string Body) {
   return {Status, {{"Content-Type", "text/plain"}}, std::move(Body)};
 }
@@ -41,13 +48,6 @@
   return {200, {{"Content-Type", "application/json"}}, std::move(Body)};
 }
 
-StoreNodesListed toSeeds(const std::vector<NodeAddresses> &Nodes) {
-  StoreNodesListed Result;
-  for (const NodeAddresses &Item : Nodes)
-    Result.Nodes_.push_back({Item.Node_, Item.Peer_});
-  return Result;
-}
-
 HttpResponse effectivePage(const NodeState &Node, const std::string &Target) {
   std::string Path = queryValue(Target, "path");
   std::string Method = queryValue(Target, "method");
@@ -75,8 +75,11 @@
   NodeShell &Shell_;
 
   void operator()(const AnswerCaller &Wanted) const {
-    Shell_.Callers_.respond(Wanted.Caller_, Wanted.Response_);
-    Shell_.BackendSide_.respond(Wanted.Caller_, Wanted.Response_);
+    HttpResponse Response = std::visit(
+        [&Wanted](const auto &Spoken) { return Spoken.encodeAnswer(Wanted); },
+        Shell_.Dialect_);
+    Shell_.Callers_.respond(Wanted.Caller_, Response);
+    Shell_.BackendSide_.respond(Wanted.Caller_, Response);
   }
   void operator()(const OpenLink &Wanted) const {
     Shell_.Peers_.open(Wanted.Link_, Wanted.Peer_);
@@ -120,30 +123,15 @@
   void operator()(const SendDatagram &Wanted) const {
     Shell_.sendDatagram(Wanted);
   }
-  void operator()(const StoreList &) const {
-    Shell_.callPlatform("list", listRequest("/settings/"), PlatformTimeout);
-  }
-  void operator()(const StoreListNodes &) const {
-    Shell_.callPlatform("nodes", listRequest("/nodes/"), PlatformTimeout);
+  void operator()(const StoreList &Wanted) const {
+    Shell_.Store_.list(Wanted.Collection_);
   }
+  void operator()(const StoreListNodes &) const { Shell_.Store_.listNodes(); }
   void operator()(const StoreWatch &Wanted) const {
-    Shell_.callPlatform("watch", watchRequest(Wanted.Since_, WatchMs),
-                        std::chrono::milliseconds(WatchMs) + PlatformTimeout);
-  }
-  void operator()(const StoreAnnounce &) const {
-    const NodeSettings &Own = Shell_.Config_.Settings_;
-    std::string Addresses =
-        encodeAddresses({Own.Name_, Own.AdvertisedPeer_, Own.OperatorAddress_});
-    Shell_.callPlatform("announce",
-                        putRequest(nodeObject(Own.Name_), Addresses, 0, true),
-                        PlatformTimeout);
-  }
-  void operator()(const StoreWithdraw &) const {
-    Shell_.callPlatform(
-        "withdraw",
-        deleteRequest(nodeObject(Shell_.Config_.Settings_.Name_), 0, true),
-        PlatformTimeout);
+    Shell_.Store_.watch(Wanted.Collection_, Wanted.Since_);
   }
+  void operator()(const StoreAnnounce &) const { Shell_.Store_.announce(); }
+  void operator()(const StoreWithdraw &) const { Shell_.Store_.withdraw(); }
   void operator()(const WriteLog &Wanted) const {
     Shell_.Metrics_.count(Wanted.Record_.Event_);
     Shell_.Events_.write(Wanted.Record_);
@@ -161,13 +149,14 @@
 NodeShell::NodeShell(boost::asio::io_context &Context,
                      const EngineConfig &Config)
     : Context_(Context), Config_(Config),
+      Dialect_(makeDialect(Config.Settings_)),
       Events_(Config.Settings_.Name_, Config.Settings_.LogFile_,
               Config.Settings_.LogLevel_),
       Engine_(Config),
       Callers_(Context, Config.Settings_.CallerAddress_, CallerKeySpace,
                MaxCallerConnections, HttpLimits(),
                {[this](CallerKey Caller, HttpRequest Request) {
-                  feed(CallerArrived{Caller, false, std::move(Request)});
+                  onRequest(Caller, false, std::move(Request));
                 },
                 [this](CallerKey Caller) { feed(CallerGone{Caller}); }}),
       BackendSide_(Context, Config.Settings_.BackendAddress_, BackendKeySpace,
@@ -185,20 +174,27 @@
       Peers_(Context, Config.Settings_.PeerAddress_,
              HelloMessage{Config.Settings_.Name_, Config.Incarnation_},
              [this](Input Happened) { feed(std::move(Happened)); }),
-      BackendCalls_(Context, HttpLimits(), MaxIdleBackendConnections,
+      BackendCalls_(Context, answerLimits(), MaxIdleBackendConnections,
                     [this](HttpCallId Call, const HttpResult &Result) {
                       onBackendDone(Call, Result);
                     }),
-      PlatformCalls_(Context, platformLimits(), 0,
-                     [this](HttpCallId Call, const HttpResult &Result) {
-                       onPlatformDone(Call, Result);
-                     }),
+      Store_(Context, Config.Settings_,
+             [this](Input Happened) { feed(std::move(Happened)); }),
       Datagrams_(Context,
                  udp::endpoint(boost::asio::ip::make_address(
                                    Config.Settings_.PeerAddress_.Address_),
                                Config.Settings_.PeerAddress_.Port_)),
       Timer_(Context), LogTimer_(Context) {
   Datagrams_.non_blocking(true);
+  if (Config.Settings_.MetricsAddress_.Port_ != 0)
+    MetricsPages_ = std::make_unique<HttpService>(
+        Context, Config.Settings_.MetricsAddress_, MetricsKeySpace,
+        MaxOperatorConnections, HttpLimits(),
+        HttpService::Handlers{
+            [this](CallerKey Caller, const HttpRequest &Request) {
+              MetricsPages_->respond(Caller, operatorPage(Request));
+            },
+            [](CallerKey) {}});
 }
 
 TimePoint NodeShell::now() {
@@ -213,11 +209,54 @@
   drain();
 }
 
+// With a route table the callers of this VM have no other entry. They go on
+// until they have seen that this one is not ready; each answer sends them away.
 void NodeShell::leave() {
-  Callers_.stopAccepting();
+  if (Config_.Settings_.Interface_ == InterfaceKind::Platform)
+    Callers_.closeAfterAnswers();
+  else
+    Callers_.stopAccepting();
   feed(LeaveRequested{});
 }
 
+void NodeShell::reload(const NodeSettings &Settings) {
+  Events_.setLevel(Settings.LogLevel_);
+  Events_.write(makeRecord(EventNumber::NodeReloaded,
+                           {{"changed", Settings == Config_.Settings_
+                                            ? "no"
+                                            : "yes"}}));
+}
+
+void NodeShell::reportBadSettings(const Findings &Faults) {
+  for (const Finding &Fault : Faults)
+    Events_.write(
+        makeRecord(EventNumber::ReloadFailed, {{"fault", toString(Fault)}}));
+}
+
+// The bounds of the route table in force, when it has changed.
+void NodeShell::applyCallerLimits() {
+  const RouteTable *Table = Engine_.state().Settings_.routes();
+  if (Table == nullptr || Table->Limits_ == CallerLimits_)
+    return;
+  CallerLimits_ = Table->Limits_;
+  HttpLimits Limits;
+  Limits.HeaderBytes_ = CallerLimits_->HeaderBytes_;
+  Limits.BodyBytes_ = std::min(CallerLimits_->BodyBytes_, MaxRequestBytes);
+  // Callers may use a connection up to the very end of its idle time.
+  Callers_.setLimits(Limits, inMillis(CallerLimits_->IdleTimeout_) + IdleMargin,
+                     inMillis(CallerLimits_->HeaderTimeout_) + IdleMargin);
+}
+
+void NodeShell::onRequest(CallerKey Caller, bool FromBackend,
+                          HttpRequest Request) {
+  IncomingRequest Decoded = std::visit(
+      [&Request](const auto &Spoken) {
+        return Spoken.decodeRequest(std::move(Request));
+      },
+      Dialect_);
+  feed(CallerArrived{Caller, FromBackend, std::move(Decoded)});
+}
+
 void NodeShell::feed(Input Happened) {
   Inputs_.push_back(std::move(Happened));
   drain();
@@ -240,6 +279,7 @@
     Engine_.handle(now(), Next);
   }
   Draining_ = false;
+  applyCallerLimits();
   armTimer();
 }
 
@@ -294,8 +334,17 @@
   HttpCallOptions Options;
   Options.ConnectTimeout_ = BackendConnectTimeout;
   Options.FreshConnection_ = Wanted.FreshConnection_;
+  Options.Matches_ = [this](const HttpRequest &Request,
+                            const HttpResponse &Response) {
+    return std::visit(
+        [&](const auto &Spoken) { return Spoken.isAnswerTo(Request, Response); },
+        Dialect_);
+  };
+  HttpRequest Sent = std::visit(
+      [&Wanted](const auto &Spoken) { return Spoken.encodeDispatch(Wanted); },
+      Dialect_);
   HttpCallId Call =
-      BackendCalls_.call(Wanted.Backend_, Wanted.Request_, Options);
+      BackendCalls_.call(Wanted.Backend_, std::move(Sent), Options);
   CallOfWork_[Wanted.Work_] = Call;
   WorkOfCall_[Call] = Wanted.Work_;
 }
@@ -308,59 +357,51 @@
   WorkOfCall_.erase(Found);
   CallOfWork_.erase(Work);
   if (const HttpResponse *Response = std::get_if<HttpResponse>(&Result))
-    feed(BackendAnswered{Work, *Response});
+    feed(BackendAnswered{
+        Work, *Response,
+        std::visit(
+            [Response](const auto &Spoken) {
+              return Spoken.decodeAnswer(*Response);
+            },
+            Dialect_)});
   else
     feed(BackendFailed{Work, std::get<HttpFailure>(Result).NeverSent_});
 }
 
-void NodeShell::callPlatform(const std::string &What,
-                             const HttpRequest &Request,
-                             std::chrono::milliseconds Timeout) {
-  ++Counts_.PlatformCalls_;
-  HttpCallOptions Options;
-  Options.Timeout_ = Timeout;
-  HttpCallId Call =
-      PlatformCalls_.call(Config_.Settings_.Platform_, Request, Options);
-  PlatformCallKinds_[Call] = What;
-}
+// Tells the core what the backend server said of itself.
+struct NodeShell::NoticeVisitor {
+  NodeShell &Shell_;
 
-void NodeShell::onPlatformDone(HttpCallId Call, const HttpResult &Result) {
-  auto Found = PlatformCallKinds_.find(Call);
-  if (Found == PlatformCallKinds_.end())
-    return;
-  std::string What = Found->second;
-  PlatformCallKinds_.erase(Found);
-  const HttpResponse *Response = std::get_if<HttpResponse>(&Result);
-  bool Good = Response != nullptr && Response->Status_ == 200;
-  StoreListed Listed;
-  StoreWatched Watched;
-  std::vector<NodeAddresses> Nodes;
-  if (Good && What == "list" && parseList(Response->Body_, Listed))
-    feed(std::move(Listed));
-  else if (Good && What == "watch" && parseWatch(Response->Body_, Watched))
-    feed(std::move(Watched));
-  else if (Good && What == "nodes" && parseNodeList(Response->Body_, Nodes))
-    feed(toSeeds(Nodes));
-  else if (Good && What == "announce")
-    feed(StoreAnnounced{});
-  else if (!Good || What != "withdraw")
-    feed(StoreFailed{What});
-}
+  void operator()(const NoNotice &) const {}
+  void operator()(const MalformedNotice &Notice) const {
+    Shell_.Events_.write(makeRecord(EventNumber::BackendNoticeMalformed,
+                                    {{"detail", Notice.Detail_}}));
+  }
+  void operator()(const BackendAnnounced &Notice) const { Shell_.feed(Notice); }
+  void operator()(const BackendDeparted &Notice) const { Shell_.feed(Notice); }
+};
 
 void NodeShell::onBackendRequest(CallerKey Caller, HttpRequest Request) {
-  if (Request.Target_ != AnnouncePath) {
-    feed(CallerArrived{Caller, true, std::move(Request)});
+  BackendNotice Notice = std::visit(
+      [&Request](const auto &Spoken) { return Spoken.decodeNotice(Request); },
+      Dialect_);
+  if (std::holds_alternative<NoNotice>(Notice)) {
+    onRequest(Caller, true, std::move(Request));
     return;
   }
-  Announcement Told;
-  bool Good =
-      Request.Method_ == "POST" && parseAnnouncement(Request.Body_, Told);
-  BackendSide_.respond(
-      Caller, Good ? textPage(200, "announced\n")
-                   : textPage(400, "announcement is malformed; it needs "
-                                   "service, address, slots, connections\n"));
-  if (Good)
-    feed(BackendAnnounced{Told});
+  std::visit(NoticeVisitor{*this}, Notice);
+  BackendSide_.respond(Caller, std::visit(
+                                   [&Notice](const auto &Spoken) {
+                                     return Spoken.encodeNoticeAnswer(Notice);
+                                   },
+                                   Dialect_));
+}
+
+HttpResponse NodeShell::readinessPage() const {
+  const NodeState &Node = Engine_.state();
+  bool Ready = Node.Phase_ == NodePhase::Serving;
+  return textPage(Ready ? 200 : 503,
+                  std::string(phaseName(Node.Phase_)) + "\n");
 }
 
 void NodeShell::onOperatorRequest(CallerKey Caller,
@@ -373,14 +414,20 @@
   std::string Path(pathOf(Request.Target_));
   if (Request.Method_ != "GET")
     return textPage(405, "only GET is served here\n");
+  std::string ReadinessPath = std::visit(
+      [](const auto &Spoken) { return Spoken.readinessPath(); }, Dialect_);
+  if (Path == ReadinessPath)
+    return readinessPage();
   if (Path == "/status")
     return jsonPage(statusJson(Node));
   if (Path == "/effective")
     return effectivePage(Node, Request.Target_);
   if (Path != "/metrics")
-    return textPage(404, "pages: /status /effective /metrics\n");
+    return textPage(404, "pages: /status /effective /metrics " +
+                             ReadinessPath + "\n");
   Counts_.PeerControlBytes_ = Peers_.controlBytes();
   Counts_.CallerConnections_ = Callers_.connections();
+  Counts_.PlatformCalls_ = Store_.calls();
   return textPage(200, Metrics_.text(Node, Counts_));
 }
 
--- a/src/shell/peer_codec.cpp
+++ b/src/shell/peer_codec.cpp
@@ -122,6 +122,8 @@
   Result.ToIncarnation_ = Fields.number("fs-to");
   Result.Context_.Root_ = Fields.text("fs-root");
   Result.Context_.Caller_ = Fields.optionalText("fs-caller");
+  Result.Context_.Route_ = Fields.optionalText("fs-route");
+  Result.Context_.CallerRequestId_ = Fields.optionalText("fs-id");
   Result.Context_.Rank_ = Fields.small("fs-rank");
   Result.Context_.Depth_ = Fields.small("fs-depth");
   Result.Context_.Tokens_ = Fields.small("fs-tokens");
@@ -161,6 +163,10 @@
   add(Result, "fs-root", Context.Root_);
   if (!Context.Caller_.empty())
     add(Result, "fs-caller", Context.Caller_);
+  if (!Context.Route_.empty())
+    add(Result, "fs-route", Context.Route_);
+  if (!Context.CallerRequestId_.empty())
+    add(Result, "fs-id", Context.CallerRequestId_);
   add(Result, "fs-rank", std::uint64_t{Context.Rank_});
   add(Result, "fs-depth", std::uint64_t{Context.Depth_});
   add(Result, "fs-tokens", std::uint64_t{Context.Tokens_});
--- a/src/shell/peer_network.cpp
+++ b/src/shell/peer_network.cpp
@@ -27,7 +27,9 @@
                     [this](ConnectionId Source, std::string_view Bytes) {
                       onBytes(Source, Bytes);
                     },
-                    [this](ConnectionId Source) { onClosed(Source); }}),
+                    [this](ConnectionId Source, ConnectionEnd) {
+                      onClosed(Source);
+                    }}),
       Listener_(Context, Place, [this](boost::asio::ip::tcp::socket Socket) {
         if (Inbound_.size() >= MaxInbound)
           return; // the socket closes as it goes out of scope
--- a/tools/backend_standin.cpp
+++ b/tools/backend_standin.cpp
@@ -4,7 +4,7 @@
 // shed and to announce slots that it does not have.
 #include "fulmarshelf/detail/shell/http_caller.hpp"  // HttpCaller
 #include "fulmarshelf/detail/shell/http_service.hpp" // HttpService
-#include "fulmarshelf/detail/shell/node_shell.hpp"   // encodeAnnouncement
+#include "fulmarshelf/detail/shell/announcement_codec.hpp" // encodeAnnouncement
 #include "topology.hpp"                              // Topology
 
 #include <nlohmann/json.hpp> // json
--- a/tools/relay.cpp
+++ b/tools/relay.cpp
@@ -2,7 +2,8 @@
 // datagrams, can add a delay, and can lose track of the connections that are
 // open while new ones work, or cut everything off.
 #include "fulmarshelf/detail/shell/http_service.hpp" // HttpService
-#include "fulmarshelf/detail/shell/node_shell.hpp"   // queryValue
+#include "fulmarshelf/detail/shell/announcement_codec.hpp" // queryValue
+#include "fulmarshelf/detail/shell/listener.hpp"           // Listener
 
 #include <boost/asio/ip/udp.hpp> // udp
 #include <boost/asio/write.hpp>  // async_write
@@ -110,9 +111,9 @@
 };
 
 // One address that is forwarded to another.
-class Route {
+class ForwardedPort {
 public:
-  Route(asio::io_context &Context, const Endpoint &Listen,
+  ForwardedPort(asio::io_context &Context, const Endpoint &Listen,
         const Endpoint &Target, Switches &Common)
       : Context_(Context), Target_(Target), Common_(Common),
         Acceptor_(Context, toTcp(Listen), true),
@@ -224,7 +225,7 @@
   Line.parse(Count, Arguments);
   asio::io_context Context(1);
   Switches Common;
-  std::deque<Route> Routes;
+  std::deque<ForwardedPort> Routes;
   Endpoint AdminPlace;
   if (!parseEndpoint(Admin.getValue(), AdminPlace))
     return 2;
