--- a/include/fulmarshelf/detail/base/event_log.hpp
+++ b/include/fulmarshelf/detail/base/event_log.hpp
@@ -82,7 +82,9 @@
 /// @brief One log line before the shell adds the time.
 struct LogRecord {
   EventNumber Event_ = EventNumber::NodeStarted;
-  std::string Text_; ///< `name=value` pairs separated by blanks
+  /// `name=value` pairs separated by blanks; a value with a blank in it stands
+  /// between quotes, an empty one is left out with its name.
+  std::string Text_;
   friend bool operator==(const LogRecord &, const LogRecord &) = default;
 };
 
--- a/include/fulmarshelf/detail/engine/inputs.hpp
+++ b/include/fulmarshelf/detail/engine/inputs.hpp
@@ -11,8 +11,8 @@
 #include <optional>    // optional
 #include <string>      // string
 #include <string_view> // string_view
-#include <variant> // variant
-#include <vector>  // vector
+#include <variant>     // variant
+#include <vector>      // vector
 
 namespace fulmarshelf {
 
--- a/include/fulmarshelf/detail/engine/node_state.hpp
+++ b/include/fulmarshelf/detail/engine/node_state.hpp
@@ -10,8 +10,8 @@
 #include "fulmarshelf/detail/retry/retry_budget.hpp"          // RetryBudget
 #include "fulmarshelf/detail/revocation/attempt_ledger.hpp"   // AttemptLedger
 #include "fulmarshelf/detail/routing/service_index.hpp"       // ServiceIndex
-#include "fulmarshelf/detail/routing/split_counter.hpp"       // SplitCounter
 #include "fulmarshelf/detail/routing/service_times.hpp"       // ServiceTimes
+#include "fulmarshelf/detail/routing/split_counter.hpp"       // SplitCounter
 #include "fulmarshelf/detail/settings/registry.hpp"           // registry
 #include "fulmarshelf/detail/ticket/ticket_book.hpp"          // TicketBook
 
@@ -70,7 +70,7 @@
   TimePoint NextDigestSync_;
   TimePoint NextMemberSync_;
   std::map<std::string, std::uint64_t> Rejected_; ///< faulty versions
-  std::string Unreadable_; ///< why the newest routes cannot be read
+  std::string Unreadable_;            ///< why the newest routes cannot be read
   std::vector<SettingsVersion> News_; ///< told to some members again
   unsigned NewsRounds_ = 0;
 };
--- a/include/fulmarshelf/detail/engine/tables.hpp
+++ b/include/fulmarshelf/detail/engine/tables.hpp
@@ -7,13 +7,13 @@
 #include "fulmarshelf/detail/routing/owner_choice.hpp" // OwnerView
 #include "fulmarshelf/detail/wire/messages.hpp"        // CallContext
 
-#include <cstdint> // uint64_t
-#include <map>     // map
+#include <cstdint>  // uint64_t
+#include <map>      // map
 #include <optional> // optional
-#include <set>     // set
-#include <string>  // string
-#include <variant> // variant
-#include <vector>  // vector
+#include <set>      // set
+#include <string>   // string
+#include <variant>  // variant
+#include <vector>   // vector
 
 namespace fulmarshelf {
 
@@ -108,8 +108,8 @@
   bool Known_ = false;
   Announcement Announcement_;
   std::optional<AnnouncementOrder> Order_; ///< of the last announcement
-  std::string Departed_; ///< incarnation that said it leaves for good
-  TimePoint ColdUntil_;  ///< it says that it is slow so long
+  std::string Departed_;        ///< incarnation that said it leaves for good
+  TimePoint ColdUntil_;         ///< it says that it is slow so long
   bool ReplacedUnseen_ = false; ///< another incarnation has its address
   TimePoint Heard_;
   TimePoint SuspectUntil_; ///< it refused a connection
--- a/include/fulmarshelf/detail/settings/ini.hpp
+++ b/include/fulmarshelf/detail/settings/ini.hpp
@@ -34,9 +34,9 @@
 /// @param MaxBytes longer texts are refused
 /// @return the sections in order, or all syntax faults, repeated sections and
 /// repeated keys; O(length of the text)
-Checked<std::vector<IniSection>> parseIni(const std::string &File,
-                                          const std::string &Text,
-                                          std::size_t MaxBytes = MaxSettingsBytes);
+Checked<std::vector<IniSection>>
+parseIni(const std::string &File, const std::string &Text,
+         std::size_t MaxBytes = MaxSettingsBytes);
 
 /// @brief Splits a text at a separator and trims blanks from the parts.
 std::vector<std::string> splitList(const std::string &Text, char Separator);
--- a/include/fulmarshelf/detail/settings/node_settings.hpp
+++ b/include/fulmarshelf/detail/settings/node_settings.hpp
@@ -39,10 +39,10 @@
 
 /// @brief Bounds that the users' platform sets for the whole mesh.
 struct MeshBounds {
-  Micros GraceTime_ = millis(6000);     ///< from the stop signal to the kill
-  double RepeatRatio_ = 0.2;            ///< repeats for each request
+  Micros GraceTime_ = millis(6000);      ///< from the stop signal to the kill
+  double RepeatRatio_ = 0.2;             ///< repeats for each request
   Micros RepeatWindow_ = millis(10'000); ///< over which they are counted
-  double RepeatSlack_ = 40;             ///< repeats beyond the ratio
+  double RepeatSlack_ = 40;              ///< repeats beyond the ratio
   friend bool operator==(const MeshBounds &, const MeshBounds &) = default;
 };
 
@@ -62,8 +62,8 @@
   Endpoint Platform_;           ///< the platform's object API
   std::vector<Endpoint> Seeds_; ///< peers to ask when the platform is down
   InterfaceKind Interface_ = InterfaceKind::Own;
-  std::string Service_;    ///< of this VM's backend server; empty: it tells
-  Endpoint Backend_;       ///< this VM's backend server, when settings tell
+  std::string Service_;     ///< of this VM's backend server; empty: it tells
+  Endpoint Backend_;        ///< this VM's backend server, when settings tell
   Endpoint MetricsAddress_; ///< a second address for metrics; port 0: none
   MeshBounds Bounds_;
   std::string LogFile_; ///< empty: standard output
--- a/include/fulmarshelf/detail/settings/registry.hpp
+++ b/include/fulmarshelf/detail/settings/registry.hpp
@@ -4,11 +4,11 @@
 #include "fulmarshelf/detail/settings/route_table.hpp"   // RouteTable
 #include "fulmarshelf/detail/settings/team_settings.hpp" // TeamSettings
 
-#include <cstdint> // uint64_t
-#include <map>     // map
+#include <cstdint>  // uint64_t
+#include <map>      // map
 #include <optional> // optional
-#include <string>  // string
-#include <vector>  // vector
+#include <string>   // string
+#include <vector>   // vector
 
 namespace fulmarshelf {
 
@@ -78,9 +78,7 @@
                                           const std::string &Caller) const;
 
   /// @brief The route table in force, nullptr when none was ever seen.
-  const RouteTable *routes() const {
-    return Routes_ ? &*Routes_ : nullptr;
-  }
+  const RouteTable *routes() const { return Routes_ ? &*Routes_ : nullptr; }
 
   /// @brief Rules for a request that a route matched: those of the route, which
   /// the settings of the service's team overlay.
--- a/include/fulmarshelf/detail/shell/backend_notice.hpp
+++ b/include/fulmarshelf/detail/shell/backend_notice.hpp
@@ -17,8 +17,8 @@
 };
 
 /// @brief What a backend server tells the node beside it.
-using BackendNotice = std::variant<NoNotice, MalformedNotice, BackendAnnounced,
-                                   BackendDeparted>;
+using BackendNotice =
+    std::variant<NoNotice, MalformedNotice, BackendAnnounced, BackendDeparted>;
 
 } // namespace fulmarshelf
 
--- a/include/fulmarshelf/detail/shell/store_client.hpp
+++ b/include/fulmarshelf/detail/shell/store_client.hpp
@@ -34,7 +34,7 @@
   struct Asked {
     StoreCall Call_ = StoreCall::List;
     Collection Collection_ = Collection::Teams;
-    bool Replacing_ = false; ///< an announcement over an older object
+    bool Replacing_ = false;           ///< an announcement over an older object
     std::vector<StoreObject> Objects_; ///< of earlier pages
   };
 
--- a/include/fulmarshelf/detail/shell/store_documents.hpp
+++ b/include/fulmarshelf/detail/shell/store_documents.hpp
@@ -63,9 +63,8 @@
 /// @brief What an object of a collection puts in force.
 /// @return nullopt when it holds no settings, or none that can be read;
 /// Fault then says why
-std::optional<SubtreeVersion> subtreeOf(Collection Kind,
-                                        const StoreObject &Object,
-                                        std::string &Fault);
+std::optional<SubtreeVersion>
+subtreeOf(Collection Kind, const StoreObject &Object, std::string &Fault);
 
 /// @brief Kind of the objects of a collection.
 const char *kindOf(Collection Value);
--- a/include/fulmarshelf/detail/wire/http.hpp
+++ b/include/fulmarshelf/detail/wire/http.hpp
@@ -57,10 +57,10 @@
 
 /// @brief What a node tells the backend server along with a request.
 struct DispatchFacts {
-  std::string Parent_;   ///< by which its calls name this work
-  Micros TimeLeft_{0};   ///< after which the answer is of no use
-  std::string Instance_; ///< incarnation that alone may run it; empty: any
-  std::string CallerService_;   ///< where the request began
+  std::string Parent_;        ///< by which its calls name this work
+  Micros TimeLeft_{0};        ///< after which the answer is of no use
+  std::string Instance_;      ///< incarnation that alone may run it; empty: any
+  std::string CallerService_; ///< where the request began
   std::string CallerRequestId_; ///< as the caller gave it; empty: none
   friend bool operator==(const DispatchFacts &,
                          const DispatchFacts &) = default;
@@ -77,8 +77,8 @@
 
 /// @brief What a backend server says of its answer besides the answer itself.
 struct AnswerFacts {
-  bool NotExecuted_ = false;    ///< it says that it did not run the request
-  bool OtherInstance_ = false;  ///< another incarnation than was expected
+  bool NotExecuted_ = false;   ///< it says that it did not run the request
+  bool OtherInstance_ = false; ///< another incarnation than was expected
   std::optional<BackendLoad> Load_;
   friend bool operator==(const AnswerFacts &, const AnswerFacts &) = default;
 };
--- a/src/base/event_log.cpp
+++ b/src/base/event_log.cpp
@@ -93,11 +93,14 @@
   LogRecord Record;
   Record.Event_ = Event;
   for (const LogField &Field : Fields) {
+    if (Field.Value_.empty())
+      continue;
     if (!Record.Text_.empty())
       Record.Text_ += ' ';
     Record.Text_ += Field.Name_;
     Record.Text_ += '=';
-    Record.Text_ += Field.Value_;
+    bool Quoted = Field.Value_.find(' ') != std::string::npos;
+    Record.Text_ += Quoted ? '"' + Field.Value_ + '"' : Field.Value_;
   }
   return Record;
 }
--- a/src/cli/platform_client.cpp
+++ b/src/cli/platform_client.cpp
@@ -88,9 +88,9 @@
     Next.Writes_.resize(MaxWriteMarks);
   std::string Name = teamObject(TeamPath);
   std::string Spec = encodeDocument(Next);
-  HttpRequest Request =
-      Stored.Exists_ ? replaceRequest(TeamsKind, Name, Spec, IfVersion)
-                     : createRequest(TeamsKind, Name, Spec);
+  HttpRequest Request = Stored.Exists_
+                            ? replaceRequest(TeamsKind, Name, Spec, IfVersion)
+                            : createRequest(TeamsKind, Name, Spec);
   // Repeating is safe: of all the tries at most one finds the version that
   // they are conditional on.
   for (int Try = 0; Try < WriteTries; ++Try) {
@@ -137,8 +137,8 @@
   std::vector<StoreObject> Objects;
   std::string After;
   while (true) {
-    HttpResult Result = fetch(
-        Platform_, listRequest(Kind, After, Freshness::Latest), Timeout_);
+    HttpResult Result =
+        fetch(Platform_, listRequest(Kind, After, Freshness::Latest), Timeout_);
     const HttpResponse *Response = std::get_if<HttpResponse>(&Result);
     StorePage Page;
     if (Response == nullptr || Response->Status_ != 200 ||
--- a/src/engine/backend_system.cpp
+++ b/src/engine/backend_system.cpp
@@ -38,8 +38,8 @@
   if (!Input.Order_ || !Own.Order_)
     return false;
   const std::string &Instance = Input.Announcement_.Instance_;
-  bool Departed = Own.Departed_ == Instance &&
-                  Input.Order_->BornMs_ <= Own.Order_->BornMs_;
+  bool Departed =
+      Own.Departed_ == Instance && Input.Order_->BornMs_ <= Own.Order_->BornMs_;
   return Departed || *Input.Order_ < *Own.Order_;
 }
 
--- a/src/engine/entry_system.cpp
+++ b/src/engine/entry_system.cpp
@@ -154,8 +154,8 @@
     refuse(Node, Fresh, notRun(ErrorCode::Leaving), "ticket " + Key);
     return;
   }
-  TicketVerdict Verdict = Node.Tickets_.use(
-      Node.Now_, Value, requestDigest(Fresh), Fresh.Id_);
+  TicketVerdict Verdict =
+      Node.Tickets_.use(Node.Now_, Value, requestDigest(Fresh), Fresh.Id_);
   switch (Verdict) {
   case TicketVerdict::Start:
     log(Node, EventNumber::TicketStarted,
@@ -192,8 +192,7 @@
     Ticket Offered = Node.Tickets_.issue(Node.Now_);
     log(Node, EventNumber::TicketIssued,
         {{"ticket", std::to_string(Offered.Sequence_)}});
-    refuse(Node, Fresh, notRun(Why), "no usable ticket",
-           toString(Offered));
+    refuse(Node, Fresh, notRun(Why), "no usable ticket", toString(Offered));
     return;
   }
   if (Value.Home_ == ownName(Node)) {
@@ -305,16 +304,14 @@
 std::optional<EffectiveRules> rulesByRoute(NodeState &Node, Request &Fresh) {
   const RouteTable *Table = Node.Settings_.routes();
   std::string_view Path = pathOf(Fresh.Http_.Target_);
-  const Route *Matched = Table == nullptr
-                             ? nullptr
-                             : findRoute(*Table, Fresh.Facts_.Host_, Path);
+  const Route *Matched =
+      Table == nullptr ? nullptr : findRoute(*Table, Fresh.Facts_.Host_, Path);
   if (Matched == nullptr)
     return std::nullopt;
   Fresh.Route_ = routeName(*Matched);
   Fresh.Service_ = Node.Splits_[Fresh.Route_].next(Matched->Services_);
-  return Node.Settings_.effective(*Matched, Fresh.Service_,
-                                  Fresh.Http_.Method_, Path,
-                                  Fresh.Facts_.CallerKind_);
+  return Node.Settings_.effective(*Matched, Fresh.Service_, Fresh.Http_.Method_,
+                                  Path, Fresh.Facts_.CallerKind_);
 }
 
 CallReply refusalWithoutRules(NodeState &Node, const Request &Fresh) {
--- a/src/engine/owner_system.cpp
+++ b/src/engine/owner_system.cpp
@@ -70,8 +70,7 @@
     return ErrorCode::NoLiveOwner;
   if (Node.Backend_.Announcement_.State_ == BackendState::Draining)
     return ErrorCode::Leaving;
-  if (Node.Backend_.ReplacedUnseen_ ||
-      Node.Now_ < Node.Backend_.SuspectUntil_)
+  if (Node.Backend_.ReplacedUnseen_ || Node.Now_ < Node.Backend_.SuspectUntil_)
     return ErrorCode::BackendFailed;
   return std::nullopt;
 }
@@ -281,7 +280,8 @@
     Reply = notRun(ErrorCode::BackendReplaced);
   else if (Shed)
     Reply = notRun(hasRouteTable(Node) ? ErrorCode::BackendRefused
-                                       : ErrorCode::Shed, retryAfter(Node, Target.Context_.Rank_));
+                                       : ErrorCode::Shed,
+                   retryAfter(Node, Target.Context_.Rank_));
   finish(Node, Id, Reply);
   runQueue(Node);
 }
--- a/src/engine/settings_system.cpp
+++ b/src/engine/settings_system.cpp
@@ -163,8 +163,8 @@
   if (Node.Now_ < Sync.NextTry_)
     return;
   bool Watcher = isWatcher(Node);
-  bool Missing = Kind == Collection::Routes &&
-                 Node.Settings_.routes() == nullptr;
+  bool Missing =
+      Kind == Collection::Routes && Node.Settings_.routes() == nullptr;
   bool NeedsList = Node.Phase_ == NodePhase::Starting || Watcher || Missing;
   if (!Sync.Listed_ && !Sync.ListOpen_ && NeedsList) {
     Sync.ListOpen_ = true;
--- a/src/engine/work_slots.cpp
+++ b/src/engine/work_slots.cpp
@@ -52,10 +52,9 @@
   if (!isIdempotent(Target))
     Patience += hasRouteTable(Node) ? LateAnswerGrace : StartedWorkGrace;
   setTimer(Node, Patience, TimerKind::WorkDeadline, Item.Work_.Value_);
-  act(Node,
-      DispatchWork{Item.Work_, Node.Backend_.Announcement_.Address_,
-                   Target.Http_, factsFor(Node, Target),
-                   !isIdempotent(Target)});
+  act(Node, DispatchWork{Item.Work_, Node.Backend_.Announcement_.Address_,
+                         Target.Http_, factsFor(Node, Target),
+                         !isIdempotent(Target)});
 }
 
 // Long work leaves some slots free for short work of at least its importance:
--- a/src/routing/split_counter.cpp
+++ b/src/routing/split_counter.cpp
@@ -12,8 +12,7 @@
       continue;
     Total += Share.Weight_;
     Credits_[Share.Service_] += Share.Weight_;
-    if (Best == nullptr ||
-        Credits_[Share.Service_] > Credits_[Best->Service_])
+    if (Best == nullptr || Credits_[Share.Service_] > Credits_[Best->Service_])
       Best = &Share;
   }
   if (Best == nullptr)
--- a/src/settings/ini.cpp
+++ b/src/settings/ini.cpp
@@ -133,8 +133,7 @@
   if (Text.size() > MaxBytes)
     return Findings{{File, 0, ErrorCode::FileTooLarge,
                      "text has " + std::to_string(Text.size()) +
-                         " bytes; the largest is " +
-                         std::to_string(MaxBytes)}};
+                         " bytes; the largest is " + std::to_string(MaxBytes)}};
   ReadState State;
   State.File_ = &File;
   State.Text_ = &Text;
--- a/src/settings/node_settings.cpp
+++ b/src/settings/node_settings.cpp
@@ -169,12 +169,9 @@
                                         const std::string &Text) {
   using SectionReader = void (*)(KeyReader &, NodeSettings &);
   const std::map<std::string, SectionReader> Readers = {
-      {"node", &readNode},
-      {"addresses", &readAddresses},
-      {"platform", &readPlatform},
-      {"interface", &readInterface},
-      {"bounds", &readBounds},
-      {"log", &readLog},
+      {"node", &readNode},         {"addresses", &readAddresses},
+      {"platform", &readPlatform}, {"interface", &readInterface},
+      {"bounds", &readBounds},     {"log", &readLog},
       {"policy", &readPolicy}};
   Checked<std::vector<IniSection>> Sections = parseIni(File, Text);
   if (!Sections)
--- a/src/settings/registry.cpp
+++ b/src/settings/registry.cpp
@@ -25,8 +25,9 @@
 }
 
 const RouteRules *findRouteRules(const TeamSettings &Settings,
-                            const std::string &Service,
-                            const std::string &Method, std::string_view Path) {
+                                 const std::string &Service,
+                                 const std::string &Method,
+                                 std::string_view Path) {
   std::string_view Rest =
       Path.substr(std::min(Path.size(), Service.size() + 1));
   const RouteRules *Best = nullptr;
--- a/src/settings/route_table.cpp
+++ b/src/settings/route_table.cpp
@@ -27,9 +27,9 @@
   for (const std::string &Item : Keys.list("services")) {
     std::size_t Colon = Item.rfind(':');
     std::uint64_t Weight = 1;
-    bool Good = Colon == std::string::npos ||
-                (parseNumber(Item.substr(Colon + 1), Weight) &&
-                 Weight <= MaxWeight);
+    bool Good =
+        Colon == std::string::npos ||
+        (parseNumber(Item.substr(Colon + 1), Weight) && Weight <= MaxWeight);
     if (Good)
       Result.push_back(
           {Item.substr(0, Colon), static_cast<std::uint32_t>(Weight)});
@@ -37,9 +37,9 @@
       Keys.fault("services", ErrorCode::BadValue,
                  "'" + Item + "' is not a service with a weight");
   }
-  bool AnyWeight = std::any_of(
-      Result.begin(), Result.end(),
-      [](const ServiceShare &Share) { return Share.Weight_ > 0; });
+  bool AnyWeight =
+      std::any_of(Result.begin(), Result.end(),
+                  [](const ServiceShare &Share) { return Share.Weight_ > 0; });
   if (!Result.empty() && !AnyWeight)
     Keys.fault("services", ErrorCode::BadValue, "all weights are 0");
   return Result;
@@ -56,7 +56,8 @@
                "'prefix' must begin and end with a slash");
   Result.Services_ = readShares(Keys);
   Result.Idempotent_ = Keys.flag("idempotent").value_or(true);
-  Result.Timeout_ = Keys.duration("timeout-ms", 1, MaxMillis).value_or(Micros(0));
+  Result.Timeout_ =
+      Keys.duration("timeout-ms", 1, MaxMillis).value_or(Micros(0));
   Result.Target_ =
       Keys.duration("target-ms", 1, MaxMillis).value_or(Result.Timeout_);
   Result.Importance_ = static_cast<unsigned>(
@@ -77,9 +78,9 @@
 
 CallerLimits readLimits(KeyReader &Keys) {
   CallerLimits Result;
-  Result.HeaderBytes_ = static_cast<std::uint32_t>(
-      Keys.number("header-bytes", 1, MaxHeaderBytes)
-          .value_or(Result.HeaderBytes_));
+  Result.HeaderBytes_ =
+      static_cast<std::uint32_t>(Keys.number("header-bytes", 1, MaxHeaderBytes)
+                                     .value_or(Result.HeaderBytes_));
   Result.BodyBytes_ =
       Keys.number("body-bytes", 0, MaxBodyBytes).value_or(Result.BodyBytes_);
   Result.HeaderTimeout_ = Keys.duration("header-timeout-ms", 1, MaxMillis)
@@ -126,8 +127,7 @@
                        std::string_view Path) {
   const Route *Best = nullptr;
   for (const Route &Item : Table.Routes_) {
-    bool Longer =
-        Best == nullptr || Item.Prefix_.size() > Best->Prefix_.size();
+    bool Longer = Best == nullptr || Item.Prefix_.size() > Best->Prefix_.size();
     if (Longer && Item.Host_ == Host && Path.starts_with(Item.Prefix_))
       Best = &Item;
   }
@@ -166,7 +166,8 @@
 
 Checked<RouteTable> parseRouteTable(const std::string &File,
                                     const std::string &Text) {
-  Checked<std::vector<IniSection>> Sections = parseIni(File, Text, MaxTableBytes);
+  Checked<std::vector<IniSection>> Sections =
+      parseIni(File, Text, MaxTableBytes);
   if (!Sections)
     return Sections.error();
   RouteTable Result;
--- a/src/shell/dialect.cpp
+++ b/src/shell/dialect.cpp
@@ -1,8 +1,8 @@
 #include "fulmarshelf/detail/shell/dialect.hpp"
 
-#include "fulmarshelf/detail/engine/answers.hpp"     // toResponse
+#include "fulmarshelf/detail/engine/answers.hpp"           // toResponse
 #include "fulmarshelf/detail/shell/announcement_codec.hpp" // parseAnnouncement
-#include "fulmarshelf/detail/wire/own_interface.hpp" // ownRequestFacts
+#include "fulmarshelf/detail/wire/own_interface.hpp"       // ownRequestFacts
 
 #include <utility> // move
 
--- a/src/shell/event_writer.cpp
+++ b/src/shell/event_writer.cpp
@@ -1,13 +1,13 @@
 #include "fulmarshelf/detail/shell/event_writer.hpp"
 
-#include <boost/log/core.hpp>                         // core
-#include <boost/log/expressions.hpp>                  // smessage
-#include <boost/log/sinks/basic_sink_backend.hpp>     // basic_formatted_sink...
-#include <boost/log/sinks/sync_frontend.hpp>          // synchronous_sink
-#include <boost/log/sources/logger.hpp>               // logger
-#include <boost/log/sources/record_ostream.hpp>       // BOOST_LOG
-#include <boost/log/utility/setup/file.hpp>           // add_file_log
-#include <boost/make_shared.hpp>                      // make_shared
+#include <boost/log/core.hpp>                     // core
+#include <boost/log/expressions.hpp>              // smessage
+#include <boost/log/sinks/basic_sink_backend.hpp> // basic_formatted_sink...
+#include <boost/log/sinks/sync_frontend.hpp>      // synchronous_sink
+#include <boost/log/sources/logger.hpp>           // logger
+#include <boost/log/sources/record_ostream.hpp>   // BOOST_LOG
+#include <boost/log/utility/setup/file.hpp>       // add_file_log
+#include <boost/make_shared.hpp>                  // make_shared
 
 #include <fcntl.h>  // fcntl
 #include <unistd.h> // write
--- a/src/shell/http1_session.cpp
+++ b/src/shell/http1_session.cpp
@@ -8,11 +8,11 @@
 #include <boost/asio/buffer.hpp>              // buffer, buffers_iterator
 #include <boost/beast/core/buffer_traits.hpp> // buffer_bytes
 #include <boost/beast/core/buffers_range.hpp> // buffers_range_ref
+#include <boost/beast/core/string.hpp>        // iequals
 #include <boost/beast/http/message.hpp>       // request, response
 #include <boost/beast/http/parser.hpp>        // request_parser
-#include <boost/beast/http/serializer.hpp>    // serializer
-#include <boost/beast/core/string.hpp>        // iequals
 #include <boost/beast/http/rfc7230.hpp>       // token_list
+#include <boost/beast/http/serializer.hpp>    // serializer
 #include <boost/beast/http/string_body.hpp>   // string_body
 
 #include <optional> // optional
@@ -299,9 +299,9 @@
     Result.Body_ = std::move(Message.body());
     // Bytes behind an answer belong to no request of this side.
     Reusable_ = Message.keep_alive() && Input_.empty();
-    IdleTime_ = idleTimeOf(
-        std::string_view(Message[http::field::keep_alive].data(),
-                         Message[http::field::keep_alive].size()));
+    IdleTime_ =
+        idleTimeOf(std::string_view(Message[http::field::keep_alive].data(),
+                                    Message[http::field::keep_alive].size()));
     Waiting_ = false;
     return ClientResult::Answered;
   }
--- a/src/shell/http_caller.cpp
+++ b/src/shell/http_caller.cpp
@@ -55,8 +55,8 @@
     return Fresh;
   }
   Entry.Connection_ = Connections_.connect(Peer, Options.ConnectTimeout_);
-  Clients_.emplace(Entry.Connection_, Client{HttpClientSession(Limits_), Fresh,
-                                             Peer, {}, false});
+  Clients_.emplace(Entry.Connection_,
+                   Client{HttpClientSession(Limits_), Fresh, Peer, {}, false});
   return Fresh;
 }
 
--- a/src/shell/http_service.cpp
+++ b/src/shell/http_service.cpp
@@ -17,17 +17,17 @@
                          Handlers Calls)
     : Limits_(Limits), Calls_(std::move(Calls)),
       MaxConnections_(MaxConnections), LastKey_(KeySpace << KeySpaceShift),
-      Connections_(Context,
-                   {[](ConnectionId) {},
-                    [this](ConnectionId Source, std::string_view Bytes) {
-                      onBytes(Source, Bytes);
-                    },
-                    [this](ConnectionId Source, ConnectionEnd) {
-                      onClosed(Source);
-                    }}),
-      Listener_(Context, Place, [this](boost::asio::ip::tcp::socket Socket) {
-        accept(std::move(Socket));
-      }),
+      Connections_(
+          Context,
+          {[](ConnectionId) {},
+           [this](ConnectionId Source, std::string_view Bytes) {
+             onBytes(Source, Bytes);
+           },
+           [this](ConnectionId Source, ConnectionEnd) { onClosed(Source); }}),
+      Listener_(Context, Place,
+                [this](boost::asio::ip::tcp::socket Socket) {
+                  accept(std::move(Socket));
+                }),
       SweepTimer_(Context) {}
 
 void HttpService::accept(boost::asio::ip::tcp::socket Socket) {
--- a/src/shell/node_shell.cpp
+++ b/src/shell/node_shell.cpp
@@ -221,10 +221,9 @@
 
 void NodeShell::reload(const NodeSettings &Settings) {
   Events_.setLevel(Settings.LogLevel_);
-  Events_.write(makeRecord(EventNumber::NodeReloaded,
-                           {{"changed", Settings == Config_.Settings_
-                                            ? "no"
-                                            : "yes"}}));
+  Events_.write(
+      makeRecord(EventNumber::NodeReloaded,
+                 {{"changed", Settings == Config_.Settings_ ? "no" : "yes"}}));
 }
 
 void NodeShell::reportBadSettings(const Findings &Faults) {
@@ -337,7 +336,9 @@
   Options.Matches_ = [this](const HttpRequest &Request,
                             const HttpResponse &Response) {
     return std::visit(
-        [&](const auto &Spoken) { return Spoken.isAnswerTo(Request, Response); },
+        [&](const auto &Spoken) {
+          return Spoken.isAnswerTo(Request, Response);
+        },
         Dialect_);
   };
   HttpRequest Sent = std::visit(
@@ -357,13 +358,12 @@
   WorkOfCall_.erase(Found);
   CallOfWork_.erase(Work);
   if (const HttpResponse *Response = std::get_if<HttpResponse>(&Result))
-    feed(BackendAnswered{
-        Work, *Response,
-        std::visit(
-            [Response](const auto &Spoken) {
-              return Spoken.decodeAnswer(*Response);
-            },
-            Dialect_)});
+    feed(BackendAnswered{Work, *Response,
+                         std::visit(
+                             [Response](const auto &Spoken) {
+                               return Spoken.decodeAnswer(*Response);
+                             },
+                             Dialect_)});
   else
     feed(BackendFailed{Work, std::get<HttpFailure>(Result).NeverSent_});
 }
@@ -423,8 +423,8 @@
   if (Path == "/effective")
     return effectivePage(Node, Request.Target_);
   if (Path != "/metrics")
-    return textPage(404, "pages: /status /effective /metrics " +
-                             ReadinessPath + "\n");
+    return textPage(404, "pages: /status /effective /metrics " + ReadinessPath +
+                             "\n");
   Counts_.PeerControlBytes_ = Peers_.controlBytes();
   Counts_.CallerConnections_ = Callers_.connections();
   Counts_.PlatformCalls_ = Store_.calls();
--- a/src/shell/peer_network.cpp
+++ b/src/shell/peer_network.cpp
@@ -22,14 +22,13 @@
                          const Endpoint &Place, const HelloMessage &Self,
                          Handler OnInput)
     : Self_(Self), OnInput_(std::move(OnInput)),
-      Connections_(Context,
-                   {[this](ConnectionId Source) { onOpen(Source); },
-                    [this](ConnectionId Source, std::string_view Bytes) {
-                      onBytes(Source, Bytes);
-                    },
-                    [this](ConnectionId Source, ConnectionEnd) {
-                      onClosed(Source);
-                    }}),
+      Connections_(
+          Context,
+          {[this](ConnectionId Source) { onOpen(Source); },
+           [this](ConnectionId Source, std::string_view Bytes) {
+             onBytes(Source, Bytes);
+           },
+           [this](ConnectionId Source, ConnectionEnd) { onClosed(Source); }}),
       Listener_(Context, Place, [this](boost::asio::ip::tcp::socket Socket) {
         if (Inbound_.size() >= MaxInbound)
           return; // the socket closes as it goes out of scope
--- a/src/shell/store_documents.cpp
+++ b/src/shell/store_documents.cpp
@@ -86,9 +86,9 @@
 bool parseAddresses(const StoreObject &Object, NodeAddresses &Result) {
   bool Good = false;
   parseJson(Object.Spec_, [&](const Json &From) {
-    Good = parseEndpoint(From.at("peer").get<std::string>(), Result.Peer_) &&
-           parseEndpoint(From.at("operator").get<std::string>(),
-                         Result.Operator_);
+    Good =
+        parseEndpoint(From.at("peer").get<std::string>(), Result.Peer_) &&
+        parseEndpoint(From.at("operator").get<std::string>(), Result.Operator_);
   });
   Result.Node_ = Object.Name_;
   return Good;
@@ -104,9 +104,8 @@
   return Result;
 }
 
-std::optional<SubtreeVersion> subtreeOf(Collection Kind,
-                                        const StoreObject &Object,
-                                        std::string &Fault) {
+std::optional<SubtreeVersion>
+subtreeOf(Collection Kind, const StoreObject &Object, std::string &Fault) {
   if (Kind == Collection::Teams)
     return teamSubtree(Object);
   if (Object.Name_ != ConfigName || Object.Deleted_)
--- a/src/wire/own_interface.cpp
+++ b/src/wire/own_interface.cpp
@@ -26,8 +26,8 @@
   Facts.CallerRequestId_ = valueOf(Headers, header::RequestId);
   std::uint64_t DeadlineMs = 0;
   if (parseNumber(valueOf(Headers, header::DeadlineMs), DeadlineMs))
-    Facts.TimeLeft_ = millis(
-        static_cast<std::int64_t>(std::min(DeadlineMs, MaxDeadlineMs)));
+    Facts.TimeLeft_ =
+        millis(static_cast<std::int64_t>(std::min(DeadlineMs, MaxDeadlineMs)));
   return Facts;
 }
 
--- a/tests/unit/codec_test.cpp
+++ b/tests/unit/codec_test.cpp
@@ -1,4 +1,4 @@
-#include "fulmarshelf/detail/settings/team_settings.hpp" // parseTeamSettings
+#include "fulmarshelf/detail/settings/team_settings.hpp"   // parseTeamSettings
 #include "fulmarshelf/detail/shell/announcement_codec.hpp" // parseAnnouncement
 #include "fulmarshelf/detail/shell/store_documents.hpp"    // subtreeOf
 
--- a/tools/backend_standin.cpp
+++ b/tools/backend_standin.cpp
@@ -2,10 +2,10 @@
 // of a topology file with a fixed number of slots, calls further services
 // through its node, and counts every run. It can be slowed, drained, made to
 // shed and to announce slots that it does not have.
-#include "fulmarshelf/detail/shell/http_caller.hpp"  // HttpCaller
-#include "fulmarshelf/detail/shell/http_service.hpp" // HttpService
 #include "fulmarshelf/detail/shell/announcement_codec.hpp" // encodeAnnouncement
-#include "topology.hpp"                              // Topology
+#include "fulmarshelf/detail/shell/http_caller.hpp"        // HttpCaller
+#include "fulmarshelf/detail/shell/http_service.hpp"       // HttpService
+#include "topology.hpp"                                    // Topology
 
 #include <nlohmann/json.hpp> // json
 #include <tclap/CmdLine.h>   // CmdLine
--- a/tools/relay.cpp
+++ b/tools/relay.cpp
@@ -1,8 +1,8 @@
 // Stand-in for the network between nodes: forwards TCP connections and
 // datagrams, can add a delay, and can lose track of the connections that are
 // open while new ones work, or cut everything off.
-#include "fulmarshelf/detail/shell/http_service.hpp" // HttpService
 #include "fulmarshelf/detail/shell/announcement_codec.hpp" // queryValue
+#include "fulmarshelf/detail/shell/http_service.hpp"       // HttpService
 #include "fulmarshelf/detail/shell/listener.hpp"           // Listener
 
 #include <boost/asio/ip/udp.hpp> // udp
@@ -114,7 +114,7 @@
 class ForwardedPort {
 public:
   ForwardedPort(asio::io_context &Context, const Endpoint &Listen,
-        const Endpoint &Target, Switches &Common)
+                const Endpoint &Target, Switches &Common)
       : Context_(Context), Target_(Target), Common_(Common),
         Acceptor_(Context, toTcp(Listen), true),
         Datagrams_(Context,
