Calls inherit from the work that made them; entries admit what fits behind a route

Ruled out: deeper queues at the deep service (its queue was never full). Change: calls are matched to running work by the moment they end; each owner measures demand by importance with arrivals weighted by one over the share admitted, and shares that fit ride back on answers, the scarcest on the path.

--- /dev/null
+++ b/include/fulmarshelf/detail/admission/admission_gate.hpp
@@ -0,0 +1,53 @@
+#ifndef FULMARSHELF_DETAIL_ADMISSION_ADMISSION_GATE_HPP
+#define FULMARSHELF_DETAIL_ADMISSION_ADMISSION_GATE_HPP
+
+#include "fulmarshelf/detail/base/time.hpp"     // TimePoint
+#include "fulmarshelf/detail/wire/messages.hpp" // AdmittedShares
+
+#include <array>         // array
+#include <string>        // string
+#include <unordered_map> // unordered_map
+
+namespace fulmarshelf {
+
+/// @brief What an entry has heard of the shares that fit behind each route, and
+/// the decision which fresh request is let in.
+///
+/// Load pattern: as DemandMeter. The share of a route is that of the scarcest
+/// service anywhere behind it, since a request that loses one of its calls is
+/// lost as a whole and what it has used is wasted.
+class AdmissionGate {
+public:
+  /// @brief Takes the shares that came with the answer to a call.
+  void learn(TimePoint Now, const std::string &Route,
+             const AdmittedShares &Told);
+
+  /// @brief Shares of a route now; they return to full ones when nothing more
+  /// is heard. O(1)
+  AdmittedShares shares(TimePoint Now, const std::string &Route) const;
+
+  /// @brief What became of a fresh request at the gate.
+  struct Verdict {
+    bool Admitted_ = true;
+    double Share_ = 1; ///< of its kind that is let in now
+  };
+
+  /// @brief Decides on a fresh request. Of any number of requests of one route
+  /// and importance just the share is let in, with no runs of luck.
+  Verdict decide(TimePoint Now, const std::string &Route, unsigned Importance);
+
+private:
+  struct Entry {
+    std::array<double, ImportanceLevels> Shares_{};
+    std::array<double, ImportanceLevels> Credit_{};
+    TimePoint Heard_;
+  };
+
+  double current(TimePoint Now, const Entry &Known, std::size_t Level) const;
+
+  std::unordered_map<std::string, Entry> Routes_;
+};
+
+} // namespace fulmarshelf
+
+#endif
--- a/include/fulmarshelf/detail/engine/node_state.hpp
+++ b/include/fulmarshelf/detail/engine/node_state.hpp
@@ -1,14 +1,17 @@
 #ifndef FULMARSHELF_DETAIL_ENGINE_NODE_STATE_HPP
 #define FULMARSHELF_DETAIL_ENGINE_NODE_STATE_HPP
 
+#include "fulmarshelf/detail/admission/admission_gate.hpp"    // gate
 #include "fulmarshelf/detail/admission/admission_level.hpp"   // level
 #include "fulmarshelf/detail/admission/concurrency_limit.hpp" // limit
+#include "fulmarshelf/detail/admission/demand_meter.hpp"      // demand
 #include "fulmarshelf/detail/admission/work_queue.hpp"        // queue
 #include "fulmarshelf/detail/engine/actions.hpp"              // Action
 #include "fulmarshelf/detail/engine/tables.hpp"               // entities
 #include "fulmarshelf/detail/membership/membership.hpp"       // Membership
 #include "fulmarshelf/detail/retry/retry_budget.hpp"          // RetryBudget
 #include "fulmarshelf/detail/revocation/attempt_ledger.hpp"   // AttemptLedger
+#include "fulmarshelf/detail/routing/call_graph.hpp"          // CallGraph
 #include "fulmarshelf/detail/routing/service_index.hpp"       // ServiceIndex
 #include "fulmarshelf/detail/routing/service_times.hpp"       // ServiceTimes
 #include "fulmarshelf/detail/routing/split_counter.hpp"       // SplitCounter
@@ -75,6 +78,13 @@
   unsigned NewsRounds_ = 0;
 };
 
+/// @brief How calls were matched to the work that made them, for metrics.
+struct ParentMatches {
+  std::uint64_t Unique_ = 0;
+  std::uint64_t Ambiguous_ = 0; ///< more than one could have made the call
+  std::uint64_t None_ = 0;      ///< of routes whose requests are calls
+};
+
 /// @brief All tables of one node. The systems are functions over it; none of
 /// them keeps a state of its own.
 struct NodeState {
@@ -108,6 +118,11 @@
   ServiceIndex Owners_;
   WorkQueue Queue_;
   ConcurrencyLimit Limit_;
+  DemandMeter Demand_; ///< of the own backend server
+  AdmissionGate Gate_; ///< for requests that enter here
+  CallGraph Graph_;
+  ParentMatches ParentMatches_;
+  std::multimap<TimePoint, WorkId> RunningEnds_; ///< as handed out
   AdmissionLevel ShortLevel_;
   AdmissionLevel LongLevel_; ///< for work whose route takes long
   TicketBook Tickets_;
--- /dev/null
+++ b/include/fulmarshelf/detail/engine/parent_search.hpp
@@ -0,0 +1,28 @@
+#ifndef FULMARSHELF_DETAIL_ENGINE_PARENT_SEARCH_HPP
+#define FULMARSHELF_DETAIL_ENGINE_PARENT_SEARCH_HPP
+
+#include "fulmarshelf/detail/engine/node_state.hpp" // NodeState
+#include "fulmarshelf/detail/engine/tables.hpp"     // Work, Request
+
+namespace fulmarshelf {
+
+/// @brief Finds the running work of this VM that made a call which names no
+/// parent: a call ends when its parent ends.
+///
+/// Where several fit, the one whose route made such calls most often is taken,
+/// and among those the most important, so that a call of important work is
+/// never shed in place of another.
+/// @return nullptr when the request is a caller's, as far as is known
+Work *findParentByDeadline(NodeState &Node, const Request &Target);
+
+/// @brief Time to hand out with work, in whole milliseconds and shortened by a
+/// few so that no other running work ends at the same moment.
+Micros distinctTimeLeft(const NodeState &Node, const Work &Target);
+
+/// @brief Keeps the index of ends while work runs.
+void noteRunning(NodeState &Node, Work &Target, Micros Handed);
+void forgetRunning(NodeState &Node, const Work &Target);
+
+} // namespace fulmarshelf
+
+#endif
--- a/include/fulmarshelf/detail/engine/tables.hpp
+++ b/include/fulmarshelf/detail/engine/tables.hpp
@@ -98,6 +98,7 @@
   TimePoint Arrived_;
   TimePoint Dispatched_;
   TimePoint Deadline_;
+  TimePoint HandedEnd_; ///< end of the time that the backend server was given
   bool Long_ = false;
   Rank ChildLevel_ = 0; ///< highest level met by its calls
   std::map<std::string, ChildCall> Calls_;
--- a/include/fulmarshelf/detail/wire/messages.hpp
+++ b/include/fulmarshelf/detail/wire/messages.hpp
@@ -6,6 +6,7 @@
 #include "fulmarshelf/detail/base/time.hpp"  // Micros
 #include "fulmarshelf/detail/wire/http.hpp"  // HttpRequest, HttpResponse
 
+#include <array>       // array
 #include <cstdint>     // uint32_t
 #include <string>      // string
 #include <string_view> // string_view
@@ -53,6 +54,20 @@
   return Value >> (RankHashBits + 1);
 }
 
+/// @brief Number of importances.
+inline constexpr std::size_t ImportanceLevels = 10;
+
+/// @brief Share of the requests of each importance that fits, in parts of
+/// FullShare.
+using AdmittedShares = std::array<std::uint8_t, ImportanceLevels>;
+inline constexpr std::uint8_t FullShare = 255;
+inline constexpr AdmittedShares FullShares = {
+    FullShare, FullShare, FullShare, FullShare, FullShare,
+    FullShare, FullShare, FullShare, FullShare, FullShare};
+
+/// @brief The smaller share of each importance.
+AdmittedShares scarcer(const AdmittedShares &Left, const AdmittedShares &Right);
+
 /// @brief What a call inherits from the request at the root of its chain.
 struct CallContext {
   std::string Root_;
@@ -63,6 +78,7 @@
   std::uint32_t Depth_ = 0;
   std::uint32_t Tokens_ = 0; ///< retries that this call may spend
   Micros Budget_{0};         ///< time left until the caller gives up
+  double Weight_ = 1;        ///< requests of the root's kind that it stands for
   bool Idempotent_ = true;
   friend bool operator==(const CallContext &, const CallContext &) = default;
 };
@@ -85,6 +101,8 @@
   std::uint32_t Queued_ = 0;
   std::uint32_t Limit_ = 0;
   bool Leaving_ = false;
+  Micros Wait_{0}; ///< until a call that comes now would start
+  AdmittedShares Admitted_ = FullShares; ///< behind the answered route
   friend bool operator==(const LoadReport &, const LoadReport &) = default;
 };
 
--- a/src/base/event_log.cpp
+++ b/src/base/event_log.cpp
@@ -11,12 +11,13 @@
   std::string_view Name_;
 };
 
-constexpr std::array<NamedEvent, 54> EventNames = {{
+constexpr std::array<NamedEvent, 56> EventNames = {{
     {EventNumber::RequestReceived, "request-received"},
     {EventNumber::RequestAnswered, "request-answered"},
     {EventNumber::RequestRefused, "request-refused"},
     {EventNumber::RequestJoined, "request-joined"},
     {EventNumber::RequestCancelled, "request-cancelled"},
+    {EventNumber::CallMatched, "call-matched"},
     {EventNumber::OwnerChosen, "owner-chosen"},
     {EventNumber::NoOwnerAccepts, "no-owner-accepts"},
     {EventNumber::RetryStarted, "retry-started"},
@@ -35,6 +36,7 @@
     {EventNumber::WorkCancelled, "work-cancelled"},
     {EventNumber::LimitChanged, "limit-changed"},
     {EventNumber::LevelChanged, "level-changed"},
+    {EventNumber::DemandMeasured, "demand-measured"},
     {EventNumber::RevokeSent, "revoke-sent"},
     {EventNumber::RevokeAnswered, "revoke-answered"},
     {EventNumber::RevokeServed, "revoke-served"},
--- a/src/engine/attempt_system.cpp
+++ b/src/engine/attempt_system.cpp
@@ -184,6 +184,7 @@
   case ErrorCode::BackendFailed:
   case ErrorCode::BackendReplaced:
   case ErrorCode::WrongIncarnation:
+  case ErrorCode::Shed:
     return true;
   default:
     return false;
@@ -205,6 +206,7 @@
 void learnFrom(NodeState &Node, const Attempt &Ended, const Request &Target,
                const CallReply &Reply) {
   OwnerView &View = Node.Peers_[Ended.Node_].Owner_;
+  Node.Gate_.learn(Node.Now_, Target.Route_, Reply.Load_.Admitted_);
   if (Reply.Outcome_ != Outcome::Complete) {
     View.onEnded();
   } else if (Reply.Response_.Status_ >= FirstFailureStatus) {
--- a/src/engine/owner_system.cpp
+++ b/src/engine/owner_system.cpp
@@ -1,6 +1,7 @@
-#include "fulmarshelf/detail/engine/answers.hpp" // notRun
-#include "fulmarshelf/detail/engine/systems.hpp" // owner_system
-#include "work_slots.hpp"                        // evict, stopRunning
+#include "fulmarshelf/detail/engine/answers.hpp"       // notRun
+#include "fulmarshelf/detail/engine/parent_search.hpp" // forgetRunning
+#include "fulmarshelf/detail/engine/systems.hpp"       // owner_system
+#include "work_slots.hpp"                              // evict, stopRunning
 
 #include <algorithm> // max, min
 
@@ -35,6 +36,42 @@
       entry_system::cancel(Node, Call.second.Request_);
 }
 
+// What may enter behind a route: what fits here, and behind every route that
+// its work calls.
+void addAdmission(NodeState &Node, const std::string &Route, Rank Value,
+                  LoadReport &Report) {
+  if (!hasRouteTable(Node))
+    return;
+  Report.Admitted_ = Node.Demand_.shares();
+  for (const std::string &Called : Node.Graph_.callsOf(Route))
+    Report.Admitted_ =
+        scarcer(Report.Admitted_, Node.Gate_.shares(Node.Now_, Called));
+  Report.Wait_ =
+      Node.Running_ < Node.Limit_.limit()
+          ? Micros(0)
+          : Node.Queue_.predictedWait(Value, std::max(1U, Node.Limit_.limit()));
+}
+
+LoadReport reportFor(NodeState &Node, const Work &Ended) {
+  LoadReport Report =
+      owner_system::loadReport(Node, Ended.Long_, Ended.ChildLevel_);
+  addAdmission(Node, Ended.Route_, Ended.Context_.Rank_, Report);
+  return Report;
+}
+
+void measureDemand(NodeState &Node, const Work &Fresh) {
+  Micros Holding = Node.WorkTimes_.expected(Fresh.Route_);
+  Node.Demand_.onArrival(importanceOf(Fresh.Context_.Rank_),
+                         Fresh.Context_.Weight_, Holding);
+  if (!Node.Demand_.update(Node.Now_, Node.Limit_.limit()))
+    return;
+  log(Node, EventNumber::DemandMeasured,
+      {{"slots", std::to_string(Node.Limit_.limit())},
+       {"demand", std::to_string(Node.Demand_.demand())},
+       {"running", std::to_string(Node.Running_)},
+       {"queued", std::to_string(Node.Queue_.size())}});
+}
+
 // Takes work out of the tables and answers for it.
 void finish(NodeState &Node, WorkId Id, CallReply Reply) {
   auto Found = Node.Works_.find(Id);
@@ -42,7 +79,7 @@
   Node.Works_.erase(Found);
   Node.WorkOfAttempt_.erase(Ended.Attempt_);
   Reply.TokensLeft_ = Ended.Context_.Tokens_;
-  Reply.Load_ = loadReport(Node, Ended.Long_, Ended.ChildLevel_);
+  Reply.Load_ = reportFor(Node, Ended);
   if (Ended.Attempt_.Node_ != ownName(Node))
     Node.Ledger_.finish(Ended.Attempt_, Reply, !isIdempotent(Ended));
   tellWaiters(Node, Ended, Reply);
@@ -53,6 +90,7 @@
 
 void freeSlot(NodeState &Node, const Work &Target) {
   --Node.Running_;
+  forgetRunning(Node, Target);
   if (Target.Long_)
     --Node.LongRunning_;
 }
@@ -85,6 +123,7 @@
   CallReply Reply = notRun(Why);
   Reply.TokensLeft_ = Context.Tokens_;
   Reply.Load_ = loadReport(Node, false, 0);
+  addAdmission(Node, Context.Route_, Context.Rank_, Reply.Load_);
   if (const StreamKey *Stream = std::get_if<StreamKey>(&Waiter)) {
     Node.Ledger_.finish(Attempt, Reply, true);
     act(Node, AnswerCall{*Stream, Reply});
@@ -128,7 +167,7 @@
 // While work of some importance is shed, here or at the entries, a slot that
 // happens to be free is not for lesser work.
 bool isBelowShedImportance(const NodeState &Node, const Work &Fresh) {
-  return hasFullPolicy(Node) &&
+  return hasFullPolicy(Node) && !hasRouteTable(Node) &&
          importanceOf(Fresh.Context_.Rank_) <
              importanceOf(admissionLevel(Node, Fresh.Long_));
 }
@@ -180,7 +219,7 @@
 
 LoadReport loadReport(const NodeState &Node, bool Long, Rank ChildLevel) {
   LoadReport Report;
-  if (hasFullPolicy(Node))
+  if (hasFullPolicy(Node) && !hasRouteTable(Node))
     Report.Level_ = std::max(admissionLevel(Node, Long), ChildLevel);
   Report.InFlight_ = Node.Running_;
   Report.Queued_ = static_cast<std::uint32_t>(Node.Queue_.size());
@@ -220,6 +259,7 @@
   Work Fresh = makeWork(Node, Attempt, Waiter, Context, Http);
   QueuedWork Item = makeQueued(Node, Fresh);
   noteShortWork(Node, Fresh);
+  measureDemand(Node, Fresh);
   levelOf(Node, Fresh.Long_).onArrival(Item.Rank_);
   if (isBelowShedImportance(Node, Fresh)) {
     refuse(Node, Attempt, Waiter, Context, ErrorCode::Shed);
--- a/src/engine/work_slots.cpp
+++ b/src/engine/work_slots.cpp
@@ -1,6 +1,7 @@
 #include "work_slots.hpp"
 
-#include "fulmarshelf/detail/engine/systems.hpp" // owner_system
+#include "fulmarshelf/detail/engine/parent_search.hpp" // noteRunning
+#include "fulmarshelf/detail/engine/systems.hpp"       // owner_system
 
 #include <algorithm> // max, min
 
@@ -20,7 +21,7 @@
   AttemptId Parent{ownName(Node), Node.Config_.Incarnation_, Target.Id_.Value_};
   DispatchFacts Facts;
   Facts.Parent_ = toString(Parent);
-  Facts.TimeLeft_ = Target.Deadline_ - Node.Now_;
+  Facts.TimeLeft_ = Target.HandedEnd_ - Node.Now_;
   Facts.Instance_ = Node.Backend_.Announcement_.Instance_;
   Facts.CallerService_ = Target.Context_.Caller_;
   Facts.CallerRequestId_ = Target.Context_.CallerRequestId_;
@@ -31,6 +32,7 @@
   Work &Target = Node.Works_.at(Item.Work_);
   Target.State_ = WorkState::Running;
   Target.Dispatched_ = Node.Now_;
+  noteRunning(Node, Target, distinctTimeLeft(Node, Target));
   ++Node.Running_;
   if (Target.Long_)
     ++Node.LongRunning_;
@@ -125,7 +127,10 @@
 }
 
 void shedInfeasible(NodeState &Node) {
-  preemptForUrgent(Node);
+  // With a route table the entries admit what fits behind them; work that runs
+  // is worth more than what could replace it.
+  if (!hasRouteTable(Node))
+    preemptForUrgent(Node);
   for (const QueuedWork &Item :
        Node.Queue_.evictInfeasible(Node.Now_, Node.Limit_.limit()))
     evict(Node, Item, ErrorCode::Shed);
@@ -143,7 +148,7 @@
     Node.SweepTimerSet_ = true;
     setTimer(Node, SweepInterval, TimerKind::QueueSweep);
   }
-  if (!Node.LevelTimerSet_) {
+  if (!Node.LevelTimerSet_ && !hasRouteTable(Node)) {
     Node.LevelTimerSet_ = true;
     setTimer(Node, AdmissionLevel::Window, TimerKind::LevelWindow);
   }
--- a/src/shell/peer_codec.cpp
+++ b/src/shell/peer_codec.cpp
@@ -1,12 +1,39 @@
 #include "fulmarshelf/detail/shell/peer_codec.hpp"
 
 #include <algorithm> // transform
+#include <charconv>  // from_chars
 
 namespace fulmarshelf {
 
 namespace {
 
 constexpr std::string_view OwnPrefix = "fs-";
+constexpr std::uint64_t WeightUnit = 1000;
+constexpr std::uint64_t MaxOptionalNumber = std::uint64_t{3'600} * 1'000'000;
+
+// Two hexadecimal digits for each importance.
+std::string sharesText(const AdmittedShares &Shares) {
+  constexpr std::string_view Digits = "0123456789abcdef";
+  std::string Text;
+  for (std::uint8_t Share : Shares) {
+    Text += Digits[Share >> 4];
+    Text += Digits[Share & 15];
+  }
+  return Text;
+}
+
+// Leaves the shares as they are when the text is malformed.
+void readShares(const std::string &Text, AdmittedShares &Result) {
+  AdmittedShares Read{};
+  if (Text.size() != 2 * Read.size())
+    return;
+  for (std::size_t Level = 0; Level < Read.size(); ++Level) {
+    const char *Start = Text.data() + 2 * Level;
+    if (std::from_chars(Start, Start + 2, Read[Level], 16).ptr != Start + 2)
+      return;
+  }
+  Result = Read;
+}
 
 std::string lowered(const std::string &Name) {
   std::string Result = Name;
@@ -103,6 +130,16 @@
     return Value;
   }
 
+  std::uint64_t optionalNumber(std::string_view Name,
+                               std::uint64_t Default) const {
+    std::uint64_t Value = Default;
+    std::string Text = optionalText(Name);
+    return !Text.empty() && parseNumber(Text, Value) &&
+                   Value <= MaxOptionalNumber
+               ? Value
+               : Default;
+  }
+
   std::string optionalText(std::string_view Name) const {
     const std::string *Value = findHeader(Source_.Headers_, Name);
     return Value == nullptr ? std::string() : *Value;
@@ -129,6 +166,8 @@
   Result.Context_.Tokens_ = Fields.small("fs-tokens");
   Result.Context_.Budget_ = Fields.micros("fs-budget");
   Result.Context_.Idempotent_ = Fields.flag("fs-idempotent");
+  Result.Context_.Weight_ = Fields.optionalNumber("fs-weight", WeightUnit) /
+                            static_cast<double>(WeightUnit);
   Result.Ticket_ = Fields.optionalText("fs-ticket");
   Result.Request_ = {Fields.text(":method"), Fields.text(":path"),
                      foreignOf(Message), Message.Body_};
@@ -172,6 +211,9 @@
   add(Result, "fs-tokens", std::uint64_t{Context.Tokens_});
   add(Result, "fs-budget", Context.Budget_);
   add(Result, "fs-idempotent", std::uint64_t{Context.Idempotent_ ? 1U : 0U});
+  auto Weight = static_cast<std::uint64_t>(Context.Weight_ * WeightUnit);
+  if (Weight != WeightUnit)
+    add(Result, "fs-weight", Weight);
   if (!Message.Ticket_.empty())
     add(Result, "fs-ticket", Message.Ticket_);
   addForeign(Result, Message.Request_.Headers_);
@@ -206,6 +248,10 @@
   add(Result, "fs-queued", std::uint64_t{Reply.Load_.Queued_});
   add(Result, "fs-limit", std::uint64_t{Reply.Load_.Limit_});
   add(Result, "fs-leaving", std::uint64_t{Reply.Load_.Leaving_ ? 1U : 0U});
+  if (Reply.Load_.Wait_.count() > 0)
+    add(Result, "fs-wait", Reply.Load_.Wait_);
+  if (Reply.Load_.Admitted_ != FullShares)
+    add(Result, "fs-admitted", sharesText(Reply.Load_.Admitted_));
   if (Complete) {
     addForeign(Result, Reply.Response_.Headers_);
     Result.Body_ = Reply.Response_.Body_;
@@ -266,9 +312,16 @@
   Result.TokensLeft_ = Fields.small("fs-tokens");
   Result.RetryAfter_ = Fields.micros("fs-retry-after");
   Result.Replayed_ = Fields.flag("fs-replayed");
-  Result.Load_ = {Fields.small("fs-level"), Fields.small("fs-in-flight"),
-                  Fields.small("fs-queued"), Fields.small("fs-limit"),
-                  Fields.flag("fs-leaving")};
+  Result.Load_ = {Fields.small("fs-level"),
+                  Fields.small("fs-in-flight"),
+                  Fields.small("fs-queued"),
+                  Fields.small("fs-limit"),
+                  Fields.flag("fs-leaving"),
+                  Micros(0),
+                  FullShares};
+  Result.Load_.Wait_ =
+      Micros(static_cast<Micros::rep>(Fields.optionalNumber("fs-wait", 0)));
+  readShares(Fields.optionalText("fs-admitted"), Result.Load_.Admitted_);
   std::uint64_t Status = Fields.number(":status");
   if (Result.Outcome_ == Outcome::Complete)
     Result.Response_ = {static_cast<std::uint16_t>(Status), foreignOf(Message),
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -1,5 +1,7 @@
 #include "fulmarshelf/detail/wire/messages.hpp"
 
+#include <algorithm> // min
+
 namespace fulmarshelf {
 
 std::string_view outcomeName(Outcome Value) {
@@ -24,4 +26,12 @@
   return false;
 }
 
+AdmittedShares scarcer(const AdmittedShares &Left,
+                       const AdmittedShares &Right) {
+  AdmittedShares Result = Left;
+  for (std::size_t Level = 0; Level < ImportanceLevels; ++Level)
+    Result[Level] = std::min(Left[Level], Right[Level]);
+  return Result;
+}
+
 } // namespace fulmarshelf
