--- a/include/fulmarshelf/detail/engine/tables.hpp
+++ b/include/fulmarshelf/detail/engine/tables.hpp
@@ -32,6 +32,7 @@
   std::string Route_;
   TimePoint Arrived_;
   TimePoint Deadline_;
+  Micros Target_{0};         ///< a good answer comes within it; 0: no such aim
   WorkId Parent_;            ///< 0 when it came from outside
   std::string ChildKey_;     ///< its key among the calls of its parent
   std::string JoinKey_;      ///< its key among the requests of outside callers
--- a/include/fulmarshelf/detail/routing/call_graph.hpp
+++ b/include/fulmarshelf/detail/routing/call_graph.hpp
@@ -28,6 +28,10 @@
   bool isUndecided(const std::string &Route) const;
   /// @brief How often work of a route made a call of another.
   double strength(const std::string &Child, const std::string &Parent) const;
+  /// @brief True when work of a route is known to make calls. O(routes)
+  bool hasCalls(const std::string &Parent) const {
+    return !callsOf(Parent).empty();
+  }
   /// @brief Routes that work of a route calls. O(routes)
   std::vector<std::string> callsOf(const std::string &Parent) const;
 
--- a/include/fulmarshelf/detail/routing/owner_choice.hpp
+++ b/include/fulmarshelf/detail/routing/owner_choice.hpp
@@ -37,6 +37,17 @@
   bool isLeaving(TimePoint Now) const;
   /// @brief Lowest rank admitted for a route, 0 when not known or outdated.
   Rank level(TimePoint Now, const std::string &Route) const;
+  /// @brief The backend server took so long for a call of a route.
+  void onService(const std::string &Route, Micros Took);
+  /// @brief Usual time of a route at the owner's backend server, failures and
+  /// silences counted in; nullopt when it has not run there yet.
+  std::optional<Micros> serviceTime(TimePoint Now,
+                                    const std::string &Route) const;
+  /// @brief Time until a call that is sent now would start, from the owner's
+  /// last word and what was sent to it since.
+  /// @param Service usual time of the calls that are sent there
+  Micros expectedWait(TimePoint Now, Micros Service) const;
+
   /// @brief Lets one request through although the level forbids it.
   /// @return true at most once per probe interval
   bool takeProbe(TimePoint Now, const std::string &Route);
@@ -52,6 +63,8 @@
   };
 
   unsigned InFlight_ = 0;
+  unsigned SentSinceReport_ = 0;
+  std::unordered_map<std::string, Micros> Services_;
   double Slowness_ = 1;
   TimePoint SlownessAt_;
   LoadReport Report_;
@@ -66,6 +79,9 @@
   unsigned InFlight_ = 0;
   LoadReport Report_;
   double Distance_ = 0; ///< network time over the usual time of the route
+  Micros Wait_{0};      ///< until a call would start there
+  Micros Service_{0};   ///< its time once it has started
+  bool Near_ = true;    ///< in this VM's failure domain
   friend bool operator==(const Candidate &, const Candidate &) = default;
 };
 
@@ -79,6 +95,23 @@
 std::optional<std::size_t> chooseOwner(const std::vector<Candidate> &Options,
                                        std::mt19937_64 &Random);
 
+/// @brief Time until a candidate would answer one more call.
+Micros expectedCompletion(const Candidate &Option);
+
+/// @brief Picks the candidate that answers first, where one in another failure
+/// domain has to be better by a margin: what crosses domains is paid for, and a
+/// server that is merely somewhat faster is not worth it.
+///
+/// Load pattern: a failure domain whose one backend server is slow, full, cold
+/// or gone. Its entries cross over as far as the others are faster, and come
+/// back by themselves. Of the candidates in other domains two random ones are
+/// looked at, so that not all entries run to the same.
+/// @param Margin by which a candidate in another domain has to be faster
+/// @return index of the choice, nullopt when there is no candidate
+std::optional<std::size_t>
+chooseByCompletion(const std::vector<Candidate> &Options, Micros Margin,
+                   std::mt19937_64 &Random);
+
 } // namespace fulmarshelf
 
 #endif
--- a/include/fulmarshelf/detail/wire/messages.hpp
+++ b/include/fulmarshelf/detail/wire/messages.hpp
@@ -113,6 +113,7 @@
   std::uint32_t TokensLeft_ = 0;
   Micros RetryAfter_{0};
   bool Replayed_ = false;
+  Micros Service_{0}; ///< time at the backend server; 0: not known
   LoadReport Load_;
   HttpResponse Response_; ///< filled when Complete
   friend bool operator==(const CallReply &, const CallReply &) = default;
--- a/src/engine/attempt_system.cpp
+++ b/src/engine/attempt_system.cpp
@@ -89,6 +89,7 @@
   Target.Attempts_.insert(Fresh.Sequence_);
   logChoice(Node, Target, Fresh, Options);
   bool MayHedge = Target.Context_.Idempotent_ && hasFullPolicy(Node) &&
+                  !hasRouteTable(Node) &&
                   Node.CallTimes_.expected(Target.Route_).count() > 0;
   if (MayHedge && !Hedge)
     setTimer(Node, hedgeDelay(Node, Target), TimerKind::Hedge, Id.Value_);
@@ -207,11 +208,20 @@
                const CallReply &Reply) {
   OwnerView &View = Node.Peers_[Ended.Node_].Owner_;
   Node.Gate_.learn(Node.Now_, Target.Route_, Reply.Load_.Admitted_);
+  if (Reply.Service_.count() > 0)
+    View.onService(Target.Route_, Reply.Service_);
   if (Reply.Outcome_ != Outcome::Complete) {
     View.onEnded();
   } else if (Reply.Response_.Status_ >= FirstFailureStatus) {
-    // Failing is often quick; it must not make an owner look fast.
-    View.onEnded(Node.Now_, FailureSlowness);
+    // Failing is often quick; it must not make an owner look fast. Work whose
+    // own calls failed says nothing about its owner.
+    if (Node.Graph_.hasCalls(Target.Route_))
+      View.onEnded();
+    else
+      View.onEnded(Node.Now_, FailureSlowness);
+  } else if (hasRouteTable(Node)) {
+    View.onEnded(Node.Now_, 1);
+    Node.CallTimes_.observe(Target.Route_, Node.Now_ - Ended.Started_);
   } else {
     Micros Took = Node.Now_ - Ended.Started_;
     Micros Expected = Node.CallTimes_.expected(Target.Route_);
--- a/src/engine/entry_system.cpp
+++ b/src/engine/entry_system.cpp
@@ -67,6 +67,7 @@
   Target.Context_.Caller_ = Target.Facts_.CallerKind_;
   Target.Context_.CallerRequestId_ = Target.Facts_.CallerRequestId_;
   Target.Context_.Route_ = Target.Route_;
+  Target.Target_ = Rules.Target_;
   Target.Context_.Idempotent_ = Rules.Idempotent_;
   Target.Context_.Tokens_ = Rules.Retries_;
   Target.Context_.Root_ = toString(
--- a/src/engine/owner_search.cpp
+++ b/src/engine/owner_search.cpp
@@ -10,24 +10,42 @@
 
 constexpr Micros DomainDistance = millis(2);
 constexpr Micros RegionDistance = millis(20);
+// An owner in another failure domain has to be faster by the time of one call,
+// and at least by this part of the route's target, to be worth the crossing.
+constexpr double MarginOfTarget = 0.1;
 
 bool servesHere(const NodeState &Node, const std::string &Service) {
   return backend_system::isServing(Node) &&
          Node.Backend_.Announcement_.Service_ == Service;
 }
 
-// Network time to a member in units of the usual time of the route.
-double distanceTo(const NodeState &Node, const Member &Owner, Micros Expected) {
+// Network time to a member and back.
+Micros wayTo(const NodeState &Node, const Member &Owner) {
   const NodeSettings &Own = Node.Config_.Settings_;
-  Micros Distance{0};
   if (Owner.Region_ != Own.Region_)
-    Distance = RegionDistance;
-  else if (Owner.FailureDomain_ != Own.FailureDomain_)
-    Distance = DomainDistance;
+    return RegionDistance;
+  return Owner.FailureDomain_ == Own.FailureDomain_ ? Micros(0)
+                                                    : DomainDistance;
+}
+
+// The same in units of the usual time of the route.
+double distanceTo(const NodeState &Node, const Member &Owner, Micros Expected) {
+  Micros Distance = wayTo(Node, Owner);
   double Unit = std::max<double>(1000, static_cast<double>(Expected.count()));
   return static_cast<double>(Distance.count()) / Unit;
 }
 
+// Fills in what the owner is expected to take; one that has not run the route
+// yet counts as fast as the fastest known.
+void estimate(NodeState &Node, const Request &Target, const OwnerView &View,
+              Candidate &Result) {
+  if (!hasRouteTable(Node))
+    return;
+  std::optional<Micros> Known = View.serviceTime(Node.Now_, Target.Route_);
+  Result.Service_ = Known.value_or(Micros(0));
+  Result.Wait_ = View.expectedWait(Node.Now_, Result.Service_);
+}
+
 void consider(NodeState &Node, const Request &Target, const Member &Owner,
               OwnerOptions &Options) {
   PeerView &View = Node.Peers_[Owner.Node_];
@@ -46,7 +64,12 @@
   Micros Expected = Node.CallTimes_.expected(Target.Route_);
   Options.Accepting_.push_back({Owner.Node_, View.Owner_.slowness(Node.Now_),
                                 View.Owner_.inFlight(), View.Owner_.report(),
-                                distanceTo(Node, Owner, Expected)});
+                                distanceTo(Node, Owner, Expected), Micros(0),
+                                Micros(0), true});
+  estimate(Node, Target, View.Owner_, Options.Accepting_.back());
+  Candidate &Added = Options.Accepting_.back();
+  Added.Service_ += wayTo(Node, Owner);
+  Added.Near_ = wayTo(Node, Owner) == Micros(0);
 }
 
 void considerSelf(NodeState &Node, const Request &Target,
@@ -62,9 +85,27 @@
     return;
   }
   OwnerView &View = Node.Peers_[ownName(Node)].Owner_;
-  Options.Accepting_.push_back({ownName(Node), View.slowness(Node.Now_),
-                                View.inFlight(),
-                                owner_system::loadReport(Node, Long, 0), 0});
+  Options.Accepting_.push_back(
+      {ownName(Node), View.slowness(Node.Now_), View.inFlight(),
+       owner_system::loadReport(Node, Long, 0), 0, Micros(0), Micros(0), true});
+  Candidate &Added = Options.Accepting_.back();
+  estimate(Node, Target, View, Added);
+  if (Node.Running_ >= Node.Limit_.limit())
+    Added.Wait_ = Node.Queue_.predictedWait(Target.Context_.Rank_,
+                                            std::max(1U, Node.Limit_.limit()));
+}
+
+} // namespace
+
+namespace {
+
+Micros fastestService(const std::vector<Candidate> &Options) {
+  Micros Fastest{0};
+  for (const Candidate &Option : Options)
+    if (Option.Service_.count() > 0 &&
+        (Fastest.count() == 0 || Option.Service_ < Fastest))
+      Fastest = Option.Service_;
+  return Fastest;
 }
 
 } // namespace
@@ -85,6 +126,12 @@
 
 std::optional<std::size_t> pickOwner(NodeState &Node, const Request &Target,
                                      const std::vector<Candidate> &Options) {
+  if (hasRouteTable(Node) && hasFullPolicy(Node)) {
+    Micros Margin(static_cast<Micros::rep>(
+        MarginOfTarget * static_cast<double>(Target.Target_.count())));
+    return chooseByCompletion(
+        Options, std::max(Margin, fastestService(Options)), Node.Random_);
+  }
   if (hasFullPolicy(Node) || Options.empty())
     return chooseOwner(Options, Node.Random_);
   return Node.RoundRobin_[Target.Service_]++ % Options.size();
--- a/src/engine/owner_system.cpp
+++ b/src/engine/owner_system.cpp
@@ -316,6 +316,8 @@
   CallReply Reply;
   Reply.Outcome_ = Outcome::Complete;
   Reply.Response_ = Response;
+  if (Response.Status_ < FirstFailureStatus)
+    Reply.Service_ = Took;
   if (Input.Facts_.OtherInstance_)
     Reply = notRun(ErrorCode::BackendReplaced);
   else if (Shed)
--- a/src/routing/owner_choice.cpp
+++ b/src/routing/owner_choice.cpp
@@ -18,10 +18,20 @@
 constexpr Micros LeavingLifetime = millis(3000);
 constexpr Micros ProbeInterval = millis(50);
 constexpr std::size_t MaxLevels = 256;
+// Of about 20 calls the mean is known to a tenth for the usual spread of work.
+constexpr double ServiceWeight = 0.1;
+// What an owner said of its queue is outdated when its queue has run empty.
+constexpr Micros WaitLifetime = millis(1000);
+// One call in so many goes to a random owner in another failure domain, so that
+// what is known of those stays true.
+constexpr unsigned CallsPerProbe = 100;
 
 } // namespace
 
-void OwnerView::onSent() { ++InFlight_; }
+void OwnerView::onSent() {
+  ++InFlight_;
+  ++SentSinceReport_;
+}
 
 void OwnerView::onEnded() { InFlight_ -= std::min(InFlight_, 1U); }
 
@@ -45,6 +55,7 @@
                          const LoadReport &Report) {
   Report_ = Report;
   ReportedAt_ = Now;
+  SentSinceReport_ = 0;
   if (Levels_.size() >= MaxLevels && !Levels_.contains(Route))
     return;
   RouteLevel &Entry = Levels_[Route];
@@ -61,6 +72,37 @@
   return Report_.Leaving_ && Now - ReportedAt_ < LeavingLifetime;
 }
 
+void OwnerView::onService(const std::string &Route, Micros Took) {
+  if (Services_.size() >= MaxLevels && !Services_.contains(Route))
+    return;
+  Micros &Mean = Services_[Route];
+  if (Mean.count() == 0)
+    Mean = Took;
+  else
+    Mean += Micros(static_cast<Micros::rep>(
+        ServiceWeight * static_cast<double>((Took - Mean).count())));
+}
+
+std::optional<Micros> OwnerView::serviceTime(TimePoint Now,
+                                             const std::string &Route) const {
+  auto Found = Services_.find(Route);
+  if (Found == Services_.end())
+    return std::nullopt;
+  return Micros(static_cast<Micros::rep>(
+      static_cast<double>(Found->second.count()) * slowness(Now)));
+}
+
+Micros OwnerView::expectedWait(TimePoint Now, Micros Service) const {
+  Micros Age = Now - ReportedAt_;
+  if (Age > WaitLifetime)
+    return Micros(0);
+  Micros Told = std::max(Micros(0), Report_.Wait_ - Age);
+  unsigned There = Report_.InFlight_ + Report_.Queued_ + SentSinceReport_;
+  if (There < Report_.Limit_)
+    return Told;
+  return Told + Service * SentSinceReport_ / std::max(1U, Report_.Limit_);
+}
+
 Rank OwnerView::level(TimePoint Now, const std::string &Route) const {
   auto Found = Levels_.find(Route);
   if (Found == Levels_.end() || Now - Found->second.Heard_ > LevelLifetime)
@@ -99,4 +141,51 @@
   return LeftIsCheaper ? Left : Right;
 }
 
+Micros expectedCompletion(const Candidate &Option) {
+  return Option.Wait_ + Option.Service_;
+}
+
+namespace {
+
+// The faster of two options, the first one when they are equal.
+std::size_t faster(const std::vector<Candidate> &Options, std::size_t Left,
+                   std::size_t Right) {
+  bool RightIsFaster =
+      expectedCompletion(Options[Right]) < expectedCompletion(Options[Left]);
+  return RightIsFaster ? Right : Left;
+}
+
+std::optional<std::size_t> fasterOfTwo(const std::vector<Candidate> &Options,
+                                       const std::vector<std::size_t> &Among,
+                                       std::mt19937_64 &Random) {
+  if (Among.empty())
+    return std::nullopt;
+  std::uniform_int_distribution<std::size_t> Pick(0, Among.size() - 1);
+  std::size_t First = Among[Pick(Random)];
+  std::size_t Second = Among[Pick(Random)];
+  return faster(Options, First, Second);
+}
+
+} // namespace
+
+std::optional<std::size_t>
+chooseByCompletion(const std::vector<Candidate> &Options, Micros Margin,
+                   std::mt19937_64 &Random) {
+  std::vector<std::size_t> Far;
+  std::optional<std::size_t> Near;
+  for (std::size_t Index = 0; Index < Options.size(); ++Index) {
+    if (!Options[Index].Near_)
+      Far.push_back(Index);
+    else
+      Near = Near ? faster(Options, *Near, Index) : Index;
+  }
+  std::optional<std::size_t> Other = fasterOfTwo(Options, Far, Random);
+  if (!Near || !Other)
+    return Near ? Near : Other;
+  std::uniform_int_distribution<unsigned> Probe(0, CallsPerProbe - 1);
+  bool Crosses = expectedCompletion(Options[*Other]) + Margin <
+                 expectedCompletion(Options[*Near]);
+  return Crosses || Probe(Random) == 0 ? Other : Near;
+}
+
 } // namespace fulmarshelf
--- a/src/shell/peer_codec.cpp
+++ b/src/shell/peer_codec.cpp
@@ -248,6 +248,8 @@
   add(Result, "fs-queued", std::uint64_t{Reply.Load_.Queued_});
   add(Result, "fs-limit", std::uint64_t{Reply.Load_.Limit_});
   add(Result, "fs-leaving", std::uint64_t{Reply.Load_.Leaving_ ? 1U : 0U});
+  if (Reply.Service_.count() > 0)
+    add(Result, "fs-service", Reply.Service_);
   if (Reply.Load_.Wait_.count() > 0)
     add(Result, "fs-wait", Reply.Load_.Wait_);
   if (Reply.Load_.Admitted_ != FullShares)
@@ -319,6 +321,8 @@
                   Fields.flag("fs-leaving"),
                   Micros(0),
                   FullShares};
+  Result.Service_ =
+      Micros(static_cast<Micros::rep>(Fields.optionalNumber("fs-service", 0)));
   Result.Load_.Wait_ =
       Micros(static_cast<Micros::rep>(Fields.optionalNumber("fs-wait", 0)));
   readShares(Fields.optionalText("fs-admitted"), Result.Load_.Admitted_);
