--- a/include/fulmarshelf/detail/admission/demand_meter.hpp
+++ b/include/fulmarshelf/detail/admission/demand_meter.hpp
@@ -8,6 +8,17 @@
 
 namespace fulmarshelf {
 
+/// @brief One arrival as the meter counts it.
+struct DemandArrival {
+  unsigned Importance_ = 0; ///< 0 to 9, that of the request at the root
+  Micros Holding_{0};       ///< time for which it will hold a slot
+  double RootWeight_ = 1;   ///< roots of its kind that it stands for
+  double PlaceWeight_ = 1;  ///< calls that its entry would have sent here
+  bool Near_ = true;        ///< its entry is in the same failure domain
+  friend bool operator==(const DemandArrival &,
+                         const DemandArrival &) = default;
+};
+
 /// @brief Measures how much work of each importance is asked of one backend
 /// server and which share of it fits.
 ///
@@ -18,35 +29,45 @@
 /// share that was let through), so that the measured demand is the same
 /// whatever is being shed, and the shares follow from it at once: importance by
 /// importance from the top until the slots are full.
+///
+/// Load pattern: one failure domain with more demand than its backend server
+/// bears while the others have room. What does not fit beside the demand of the
+/// own domain is moved, and only as much as the others have room for.
 class DemandMeter {
 public:
   /// @brief Counts an arrival.
-  /// @param Importance 0 to 9, that of the request at the root
-  /// @param Weight requests that it stands for, 1 or more
-  /// @param Holding time for which it will hold a slot
-  void onArrival(unsigned Importance, double Weight, Micros Holding);
+  void onArrival(const DemandArrival &Arrival);
 
   /// @brief Takes a measurement when its time has come.
   /// @param Slots calls that may run at a time
   /// @return true when shares were computed anew
   bool update(TimePoint Now, double Slots);
 
-  /// @brief Share of each importance that fits, full shares before the first
-  /// measurement.
-  const AdmittedShares &shares() const { return Shares_; }
+  /// @brief Shares that fit, full ones before the first measurement.
+  const OwnerShares &shares() const { return Shares_; }
 
-  /// @brief Slots that all demand together would fill.
+  /// @brief Slots that all demand together would fill if nothing were shed.
   double demand() const;
 
   /// @brief Time between two measurements.
   static constexpr Micros Interval = millis(100);
 
 private:
+  // Slots that one kind of demand fills, by importance.
+  struct Series {
+    std::array<double, ImportanceLevels> Asked_{}; ///< slot-microseconds
+    std::array<double, ImportanceLevels> Mean_{};  ///< slots
+
+    void add(std::size_t Level, double Value);
+    void close(double Elapsed);
+  };
+
   void divide(double Slots);
 
-  std::array<double, ImportanceLevels> Asked_{};  ///< slot-microseconds
-  std::array<double, ImportanceLevels> Demand_{}; ///< slots
-  AdmittedShares Shares_ = FullShares;
+  Series Roots_;   ///< with what the gates shed
+  Series Near_;    ///< of the own domain, with what was moved away
+  Series Foreign_; ///< of other domains, with what they kept back
+  OwnerShares Shares_;
   TimePoint Since_;
 };
 
--- a/include/fulmarshelf/detail/engine/node_state.hpp
+++ b/include/fulmarshelf/detail/engine/node_state.hpp
@@ -1,22 +1,22 @@
 #ifndef FULMARSHELF_DETAIL_ENGINE_NODE_STATE_HPP
 #define FULMARSHELF_DETAIL_ENGINE_NODE_STATE_HPP
 
-#include "fulmarshelf/detail/admission/admission_gate.hpp"    // gate
-#include "fulmarshelf/detail/admission/admission_level.hpp"   // level
-#include "fulmarshelf/detail/admission/concurrency_limit.hpp" // limit
-#include "fulmarshelf/detail/admission/demand_meter.hpp"      // demand
-#include "fulmarshelf/detail/admission/work_queue.hpp"        // queue
-#include "fulmarshelf/detail/engine/actions.hpp"              // Action
-#include "fulmarshelf/detail/engine/tables.hpp"               // entities
-#include "fulmarshelf/detail/membership/membership.hpp"       // Membership
-#include "fulmarshelf/detail/retry/retry_budget.hpp"          // RetryBudget
-#include "fulmarshelf/detail/revocation/attempt_ledger.hpp"   // AttemptLedger
-#include "fulmarshelf/detail/routing/call_graph.hpp"          // CallGraph
-#include "fulmarshelf/detail/routing/service_index.hpp"       // ServiceIndex
-#include "fulmarshelf/detail/routing/service_times.hpp"       // ServiceTimes
-#include "fulmarshelf/detail/routing/split_counter.hpp"       // SplitCounter
-#include "fulmarshelf/detail/settings/registry.hpp"           // registry
-#include "fulmarshelf/detail/ticket/ticket_book.hpp"          // TicketBook
+#include "fulmarshelf/detail/admission/admission_gate.hpp"  // gate
+#include "fulmarshelf/detail/admission/admission_level.hpp" // level
+#include "fulmarshelf/detail/admission/demand_meter.hpp"    // demand
+#include "fulmarshelf/detail/admission/work_limit.hpp"      // limit
+#include "fulmarshelf/detail/admission/work_queue.hpp"      // queue
+#include "fulmarshelf/detail/engine/actions.hpp"            // Action
+#include "fulmarshelf/detail/engine/tables.hpp"             // entities
+#include "fulmarshelf/detail/membership/membership.hpp"     // Membership
+#include "fulmarshelf/detail/retry/retry_budget.hpp"        // RetryBudget
+#include "fulmarshelf/detail/revocation/attempt_ledger.hpp" // AttemptLedger
+#include "fulmarshelf/detail/routing/call_graph.hpp"        // CallGraph
+#include "fulmarshelf/detail/routing/service_index.hpp"     // ServiceIndex
+#include "fulmarshelf/detail/routing/service_times.hpp"     // ServiceTimes
+#include "fulmarshelf/detail/routing/split_counter.hpp"     // SplitCounter
+#include "fulmarshelf/detail/settings/registry.hpp"         // registry
+#include "fulmarshelf/detail/ticket/ticket_book.hpp"        // TicketBook
 
 #include <map>           // map
 #include <random>        // mt19937_64
@@ -117,7 +117,7 @@
   Membership Membership_;
   ServiceIndex Owners_;
   WorkQueue Queue_;
-  ConcurrencyLimit Limit_;
+  WorkLimit Limit_;
   DemandMeter Demand_; ///< of the own backend server
   AdmissionGate Gate_; ///< for requests that enter here
   CallGraph Graph_;
--- a/include/fulmarshelf/detail/engine/owner_search.hpp
+++ b/include/fulmarshelf/detail/engine/owner_search.hpp
@@ -25,9 +25,9 @@
 OwnerOptions findOwners(NodeState &Node, const Request &Target);
 
 /// @brief Chooses one of the accepting owners.
-/// @return index of the choice, nullopt when there is none
-std::optional<std::size_t> pickOwner(NodeState &Node, const Request &Target,
-                                     const std::vector<Candidate> &Options);
+/// @return nullopt when there is none
+std::optional<Placement> pickOwner(NodeState &Node, const Request &Target,
+                                   const std::vector<Candidate> &Options);
 
 } // namespace fulmarshelf
 
--- a/include/fulmarshelf/detail/routing/owner_choice.hpp
+++ b/include/fulmarshelf/detail/routing/owner_choice.hpp
@@ -4,6 +4,7 @@
 #include "fulmarshelf/detail/base/time.hpp"     // TimePoint, Micros
 #include "fulmarshelf/detail/wire/messages.hpp" // LoadReport, Rank
 
+#include <array>         // array
 #include <optional>      // optional
 #include <random>        // mt19937_64
 #include <string>        // string
@@ -27,7 +28,7 @@
   /// stays unknown, so each such attempt makes it count as slower
   void onAbandoned(TimePoint Now, double AtLeast);
   /// @brief The owner told its load along with an answer.
-  void onReport(TimePoint Now, const std::string &Route,
+  void onReport(TimePoint Now, const std::string &Route, unsigned Importance,
                 const LoadReport &Report);
 
   /// @brief How much slower than usual calls run there, 1 when as usual;
@@ -43,10 +44,14 @@
   /// silences counted in; nullopt when it has not run there yet.
   std::optional<Micros> serviceTime(TimePoint Now,
                                     const std::string &Route) const;
+  /// @brief Share of calls of an importance that the owner has room for.
+  /// @param Near whether they come from its own failure domain
+  double share(TimePoint Now, unsigned Importance, bool Near) const;
   /// @brief Time until a call that is sent now would start, from the owner's
   /// last word and what was sent to it since.
+  /// @param Importance of the call; more important work waits less
   /// @param Service usual time of the calls that are sent there
-  Micros expectedWait(TimePoint Now, Micros Service) const;
+  Micros expectedWait(TimePoint Now, unsigned Importance, Micros Service) const;
 
   /// @brief Lets one request through although the level forbids it.
   /// @return true at most once per probe interval
@@ -61,10 +66,15 @@
     TimePoint Heard_;
     TimePoint NextProbe_;
   };
+  struct ToldWait {
+    Micros Wait_{0};
+    TimePoint Heard_;
+  };
 
   unsigned InFlight_ = 0;
   unsigned SentSinceReport_ = 0;
   std::unordered_map<std::string, Micros> Services_;
+  std::array<ToldWait, ImportanceLevels> Waits_{};
   double Slowness_ = 1;
   TimePoint SlownessAt_;
   LoadReport Report_;
@@ -82,6 +92,7 @@
   Micros Wait_{0};      ///< until a call would start there
   Micros Service_{0};   ///< its time once it has started
   bool Near_ = true;    ///< in this VM's failure domain
+  double Share_ = 1;    ///< of such calls that fits there
   friend bool operator==(const Candidate &, const Candidate &) = default;
 };
 
@@ -98,17 +109,24 @@
 /// @brief Time until a candidate would answer one more call.
 Micros expectedCompletion(const Candidate &Option);
 
+/// @brief A choice and what it says about the calls that were placed otherwise.
+struct Placement {
+  std::size_t Index_ = 0;  ///< of the chosen candidate
+  double Probability_ = 1; ///< of the choice, by what had room
+};
+
 /// @brief Picks the candidate that answers first, where one in another failure
 /// domain has to be better by a margin: what crosses domains is paid for, and a
 /// server that is merely somewhat faster is not worth it.
 ///
 /// Load pattern: a failure domain whose one backend server is slow, full, cold
-/// or gone. Its entries cross over as far as the others are faster, and come
-/// back by themselves. Of the candidates in other domains two random ones are
-/// looked at, so that not all entries run to the same.
+/// or gone. Of what does not fit there, as much crosses over as fits elsewhere;
+/// when nothing fits anywhere nothing crosses. Of the candidates in other
+/// domains two random ones are looked at, so that not all entries run to the
+/// same.
 /// @param Margin by which a candidate in another domain has to be faster
-/// @return index of the choice, nullopt when there is no candidate
-std::optional<std::size_t>
+/// @return nullopt when there is no candidate
+std::optional<Placement>
 chooseByCompletion(const std::vector<Candidate> &Options, Micros Margin,
                    std::mt19937_64 &Random);
 
--- a/include/fulmarshelf/detail/wire/messages.hpp
+++ b/include/fulmarshelf/detail/wire/messages.hpp
@@ -65,6 +65,14 @@
     FullShare, FullShare, FullShare, FullShare, FullShare,
     FullShare, FullShare, FullShare, FullShare, FullShare};
 
+/// @brief What fits at one owner.
+struct OwnerShares {
+  AdmittedShares Admitted_ = FullShares; ///< of all roots, admitted or not
+  AdmittedShares Kept_ = FullShares;     ///< of the own domain's calls
+  AdmittedShares Foreign_ = FullShares;  ///< of what other domains would send
+  friend bool operator==(const OwnerShares &, const OwnerShares &) = default;
+};
+
 /// @brief The smaller share of each importance.
 AdmittedShares scarcer(const AdmittedShares &Left, const AdmittedShares &Right);
 
@@ -79,6 +87,8 @@
   std::uint32_t Tokens_ = 0; ///< retries that this call may spend
   Micros Budget_{0};         ///< time left until the caller gives up
   double Weight_ = 1;        ///< requests of the root's kind that it stands for
+  double PlaceWeight_ = 1;   ///< calls that would have come to this owner
+  bool Near_ = true;         ///< entry and owner are in one failure domain
   bool Idempotent_ = true;
   friend bool operator==(const CallContext &, const CallContext &) = default;
 };
@@ -101,8 +111,8 @@
   std::uint32_t Queued_ = 0;
   std::uint32_t Limit_ = 0;
   bool Leaving_ = false;
-  Micros Wait_{0}; ///< until a call that comes now would start
-  AdmittedShares Admitted_ = FullShares; ///< behind the answered route
+  Micros Wait_{0};     ///< until a call that comes now would start
+  OwnerShares Shares_; ///< Admitted_ is that behind the answered route
   friend bool operator==(const LoadReport &, const LoadReport &) = default;
 };
 
--- a/src/admission/demand_meter.cpp
+++ b/src/admission/demand_meter.cpp
@@ -15,16 +15,41 @@
 // Random arrivals need some free slots to keep the queue short; at 0.92 of the
 // slots the mean wait in a queue of 15 servers is half a service time.
 constexpr double UsableShare = 0.92;
+// Demand is moved to other domains before a queue forms at all.
+constexpr double KeptShare = 0.85;
 // A trickle is let through even when nothing fits, so that the end of the
 // demand is seen.
 constexpr double LeastShare = 0.02;
 
+// Takes what is wanted from what is left; returns the share that was there.
+std::uint8_t takeShare(double Wanted, double &Left) {
+  double Share = Wanted <= Left ? 1 : Left / Wanted;
+  Left -= std::min(Left, Wanted);
+  return static_cast<std::uint8_t>(
+      std::lround(std::clamp(Share, LeastShare, 1.0) * FullShare));
+}
+
 } // namespace
 
-void DemandMeter::onArrival(unsigned Importance, double Weight,
-                            Micros Holding) {
-  std::size_t Level = std::min<std::size_t>(Importance, ImportanceLevels - 1);
-  Asked_[Level] += std::max(1.0, Weight) * static_cast<double>(Holding.count());
+void DemandMeter::Series::add(std::size_t Level, double Value) {
+  Asked_[Level] += Value;
+}
+
+void DemandMeter::Series::close(double Elapsed) {
+  double Weight = 1 - std::exp(-Elapsed / SmoothingMicros);
+  for (std::size_t Level = 0; Level < ImportanceLevels; ++Level) {
+    Mean_[Level] += Weight * (Asked_[Level] / Elapsed - Mean_[Level]);
+    Asked_[Level] = 0;
+  }
+}
+
+void DemandMeter::onArrival(const DemandArrival &Arrival) {
+  std::size_t Level =
+      std::min<std::size_t>(Arrival.Importance_, ImportanceLevels - 1);
+  auto Holding = static_cast<double>(Arrival.Holding_.count());
+  Roots_.add(Level, Holding * std::max(1.0, Arrival.RootWeight_));
+  Series &Place = Arrival.Near_ ? Near_ : Foreign_;
+  Place.add(Level, Holding * std::max(1.0, Arrival.PlaceWeight_));
 }
 
 bool DemandMeter::update(TimePoint Now, double Slots) {
@@ -34,28 +59,26 @@
   if (Elapsed < static_cast<double>(Interval.count()))
     return false;
   Since_ = Now;
-  double Weight = 1 - std::exp(-Elapsed / SmoothingMicros);
-  for (std::size_t Level = 0; Level < ImportanceLevels; ++Level) {
-    Demand_[Level] += Weight * (Asked_[Level] / Elapsed - Demand_[Level]);
-    Asked_[Level] = 0;
-  }
-  divide(Slots);
+  Roots_.close(Elapsed);
+  Near_.close(Elapsed);
+  Foreign_.close(Elapsed);
+  divide(std::max(1.0, Slots));
   return true;
 }
 
 void DemandMeter::divide(double Slots) {
-  double Left = std::max(1.0, Slots) * UsableShare;
+  double LeftForRoots = Slots * UsableShare;
+  double LeftForPlaces = Slots * KeptShare;
   for (std::size_t Level = ImportanceLevels; Level > 0; --Level) {
-    double Wanted = Demand_[Level - 1];
-    double Share = Wanted <= Left ? 1 : Left / Wanted;
-    Left -= std::min(Left, Wanted);
-    Shares_[Level - 1] = static_cast<std::uint8_t>(
-        std::lround(std::clamp(Share, LeastShare, 1.0) * FullShare));
+    std::size_t Index = Level - 1;
+    Shares_.Admitted_[Index] = takeShare(Roots_.Mean_[Index], LeftForRoots);
+    Shares_.Kept_[Index] = takeShare(Near_.Mean_[Index], LeftForPlaces);
+    Shares_.Foreign_[Index] = takeShare(Foreign_.Mean_[Index], LeftForPlaces);
   }
 }
 
 double DemandMeter::demand() const {
-  return std::accumulate(Demand_.begin(), Demand_.end(), 0.0);
+  return std::accumulate(Roots_.Mean_.begin(), Roots_.Mean_.end(), 0.0);
 }
 
 } // namespace fulmarshelf
--- a/src/engine/attempt_system.cpp
+++ b/src/engine/attempt_system.cpp
@@ -15,6 +15,8 @@
 // Attempts that a leaving owner refused, or that could not be sent, reached no
 // backend server and cost no token, but their number is bounded too.
 constexpr unsigned MaxFreeMoves = 2;
+// A rare choice must not count for too many calls that were placed otherwise.
+constexpr double LeastCountedShare = 0.05;
 constexpr Micros LeastHedgeDelay = millis(5);
 constexpr int HedgeFactor = 2;
 constexpr std::uint16_t FirstFailureStatus = 500;
@@ -207,7 +209,7 @@
 void learnFrom(NodeState &Node, const Attempt &Ended, const Request &Target,
                const CallReply &Reply) {
   OwnerView &View = Node.Peers_[Ended.Node_].Owner_;
-  Node.Gate_.learn(Node.Now_, Target.Route_, Reply.Load_.Admitted_);
+  Node.Gate_.learn(Node.Now_, Target.Route_, Reply.Load_.Shares_.Admitted_);
   if (Reply.Service_.count() > 0)
     View.onService(Target.Route_, Reply.Service_);
   if (Reply.Outcome_ != Outcome::Complete) {
@@ -233,7 +235,8 @@
     Node.CallTimes_.observe(Target.Route_, Took);
   }
   if (Ended.Node_ != ownName(Node))
-    View.onReport(Node.Now_, Target.Route_, Reply.Load_);
+    View.onReport(Node.Now_, Target.Route_, importanceOf(Target.Context_.Rank_),
+                  Reply.Load_);
 }
 
 // Counts what a silent or failed owner held back as the time it took so far.
@@ -258,10 +261,13 @@
 void pursue(NodeState &Node, RequestId Id) {
   Request &Target = Node.Requests_.at(Id);
   OwnerOptions Options = findOwners(Node, Target);
-  std::optional<std::size_t> Picked =
-      pickOwner(Node, Target, Options.Accepting_);
+  std::optional<Placement> Picked = pickOwner(Node, Target, Options.Accepting_);
   if (Picked) {
-    std::string Owner = Options.Accepting_[*Picked].Node_;
+    const Candidate &Chosen = Options.Accepting_[Picked->Index_];
+    std::string Owner = Chosen.Node_;
+    Target.Context_.Near_ = Chosen.Near_;
+    Target.Context_.PlaceWeight_ =
+        1 / std::max(Picked->Probability_, LeastCountedShare);
     startAttempt(Node, Id, Owner, false, Options.Accepting_);
     return;
   }
@@ -449,13 +455,12 @@
     const LoadReport &Told = Option.Report_;
     return Told.Queued_ > 0 || Told.InFlight_ >= Told.Limit_;
   });
-  std::optional<std::size_t> Picked =
-      pickOwner(Node, Target, Options.Accepting_);
+  std::optional<Placement> Picked = pickOwner(Node, Target, Options.Accepting_);
   if (!Picked || !Node.Budgets_[Target.Service_].take())
     return;
   --Target.Context_.Tokens_;
   Target.PayNext_ = true;
-  std::string Owner = Options.Accepting_[*Picked].Node_;
+  std::string Owner = Options.Accepting_[Picked->Index_].Node_;
   log(Node, EventNumber::HedgeStarted,
       {{"request", toString(Id)}, {"owner", Owner}});
   startAttempt(Node, Id, Owner, true, Options.Accepting_);
--- a/src/engine/node_state.cpp
+++ b/src/engine/node_state.cpp
@@ -35,6 +35,7 @@
 NodeState::NodeState(const EngineConfig &Config)
     : Config_(Config), Random_(Config.Seed_),
       Membership_(selfMember(Config), Random_), Owners_(Config.Settings_.Name_),
+      Limit_(Config.Settings_.Interface_ == InterfaceKind::Platform),
       Tickets_(Config.Settings_.Name_, Config.Incarnation_, Config.Secret_) {
   Sync_.Seeds_ = Config.Settings_.Seeds_;
 }
--- a/src/engine/owner_search.cpp
+++ b/src/engine/owner_search.cpp
@@ -43,7 +43,8 @@
     return;
   std::optional<Micros> Known = View.serviceTime(Node.Now_, Target.Route_);
   Result.Service_ = Known.value_or(Micros(0));
-  Result.Wait_ = View.expectedWait(Node.Now_, Result.Service_);
+  Result.Wait_ = View.expectedWait(
+      Node.Now_, importanceOf(Target.Context_.Rank_), Result.Service_);
 }
 
 void consider(NodeState &Node, const Request &Target, const Member &Owner,
@@ -70,6 +71,8 @@
   Candidate &Added = Options.Accepting_.back();
   Added.Service_ += wayTo(Node, Owner);
   Added.Near_ = wayTo(Node, Owner) == Micros(0);
+  Added.Share_ = View.Owner_.share(
+      Node.Now_, importanceOf(Target.Context_.Rank_), Added.Near_);
 }
 
 void considerSelf(NodeState &Node, const Request &Target,
@@ -90,6 +93,12 @@
        owner_system::loadReport(Node, Long, 0), 0, Micros(0), Micros(0), true});
   Candidate &Added = Options.Accepting_.back();
   estimate(Node, Target, View, Added);
+  std::size_t Importance = std::min<std::size_t>(
+      importanceOf(Target.Context_.Rank_), ImportanceLevels - 1);
+  if (hasRouteTable(Node))
+    Added.Share_ =
+        static_cast<double>(Node.Demand_.shares().Kept_[Importance]) /
+        FullShare;
   if (Node.Running_ >= Node.Limit_.limit())
     Added.Wait_ = Node.Queue_.predictedWait(Target.Context_.Rank_,
                                             std::max(1U, Node.Limit_.limit()));
@@ -124,17 +133,19 @@
   return Options;
 }
 
-std::optional<std::size_t> pickOwner(NodeState &Node, const Request &Target,
-                                     const std::vector<Candidate> &Options) {
+std::optional<Placement> pickOwner(NodeState &Node, const Request &Target,
+                                   const std::vector<Candidate> &Options) {
+  if (Options.empty())
+    return std::nullopt;
   if (hasRouteTable(Node) && hasFullPolicy(Node)) {
     Micros Margin(static_cast<Micros::rep>(
         MarginOfTarget * static_cast<double>(Target.Target_.count())));
     return chooseByCompletion(
         Options, std::max(Margin, fastestService(Options)), Node.Random_);
   }
-  if (hasFullPolicy(Node) || Options.empty())
-    return chooseOwner(Options, Node.Random_);
-  return Node.RoundRobin_[Target.Service_]++ % Options.size();
+  if (hasFullPolicy(Node))
+    return Placement{*chooseOwner(Options, Node.Random_), 1};
+  return Placement{Node.RoundRobin_[Target.Service_]++ % Options.size(), 1};
 }
 
 } // namespace fulmarshelf
--- a/src/engine/owner_system.cpp
+++ b/src/engine/owner_system.cpp
@@ -42,10 +42,10 @@
                   LoadReport &Report) {
   if (!hasRouteTable(Node))
     return;
-  Report.Admitted_ = Node.Demand_.shares();
+  Report.Shares_ = Node.Demand_.shares();
   for (const std::string &Called : Node.Graph_.callsOf(Route))
-    Report.Admitted_ =
-        scarcer(Report.Admitted_, Node.Gate_.shares(Node.Now_, Called));
+    Report.Shares_.Admitted_ =
+        scarcer(Report.Shares_.Admitted_, Node.Gate_.shares(Node.Now_, Called));
   Report.Wait_ =
       Node.Running_ < Node.Limit_.limit()
           ? Micros(0)
@@ -61,8 +61,9 @@
 
 void measureDemand(NodeState &Node, const Work &Fresh) {
   Micros Holding = Node.WorkTimes_.expected(Fresh.Route_);
-  Node.Demand_.onArrival(importanceOf(Fresh.Context_.Rank_),
-                         Fresh.Context_.Weight_, Holding);
+  const CallContext &Context = Fresh.Context_;
+  Node.Demand_.onArrival({importanceOf(Context.Rank_), Holding, Context.Weight_,
+                          Context.PlaceWeight_, Context.Near_});
   if (!Node.Demand_.update(Node.Now_, Node.Limit_.limit()))
     return;
   log(Node, EventNumber::DemandMeasured,
--- a/src/routing/owner_choice.cpp
+++ b/src/routing/owner_choice.cpp
@@ -52,7 +52,9 @@
 }
 
 void OwnerView::onReport(TimePoint Now, const std::string &Route,
-                         const LoadReport &Report) {
+                         unsigned Importance, const LoadReport &Report) {
+  std::size_t Level = std::min<std::size_t>(Importance, ImportanceLevels - 1);
+  Waits_[Level] = {Report.Wait_, Now};
   Report_ = Report;
   ReportedAt_ = Now;
   SentSinceReport_ = 0;
@@ -92,13 +94,26 @@
       static_cast<double>(Found->second.count()) * slowness(Now)));
 }
 
-Micros OwnerView::expectedWait(TimePoint Now, Micros Service) const {
-  Micros Age = Now - ReportedAt_;
-  if (Age > WaitLifetime)
-    return Micros(0);
-  Micros Told = std::max(Micros(0), Report_.Wait_ - Age);
+double OwnerView::share(TimePoint Now, unsigned Importance, bool Near) const {
+  if (Now - ReportedAt_ > WaitLifetime)
+    return 1;
+  const AdmittedShares &Told =
+      Near ? Report_.Shares_.Kept_ : Report_.Shares_.Foreign_;
+  return static_cast<double>(
+             Told[std::min<std::size_t>(Importance, ImportanceLevels - 1)]) /
+         FullShare;
+}
+
+Micros OwnerView::expectedWait(TimePoint Now, unsigned Importance,
+                               Micros Service) const {
+  std::size_t Level = std::min<std::size_t>(Importance, ImportanceLevels - 1);
+  Micros Age = Now - Waits_[Level].Heard_;
+  Micros Told{0};
+  if (Age <= WaitLifetime)
+    Told = std::max(Micros(0), Waits_[Level].Wait_ - Age);
   unsigned There = Report_.InFlight_ + Report_.Queued_ + SentSinceReport_;
-  if (There < Report_.Limit_)
+  bool Outdated = Now - ReportedAt_ > WaitLifetime;
+  if (Outdated || There < Report_.Limit_)
     return Told;
   return Told + Service * SentSinceReport_ / std::max(1U, Report_.Limit_);
 }
@@ -168,7 +183,7 @@
 
 } // namespace
 
-std::optional<std::size_t>
+std::optional<Placement>
 chooseByCompletion(const std::vector<Candidate> &Options, Micros Margin,
                    std::mt19937_64 &Random) {
   std::vector<std::size_t> Far;
@@ -180,12 +195,22 @@
       Near = Near ? faster(Options, *Near, Index) : Index;
   }
   std::optional<std::size_t> Other = fasterOfTwo(Options, Far, Random);
+  if (!Near && !Other)
+    return std::nullopt;
   if (!Near || !Other)
-    return Near ? Near : Other;
+    return Placement{Near ? *Near : *Other, 1};
   std::uniform_int_distribution<unsigned> Probe(0, CallsPerProbe - 1);
-  bool Crosses = expectedCompletion(Options[*Other]) + Margin <
-                 expectedCompletion(Options[*Near]);
-  return Crosses || Probe(Random) == 0 ? Other : Near;
+  bool Faster = expectedCompletion(Options[*Other]) + Margin <
+                expectedCompletion(Options[*Near]);
+  if (Faster || Probe(Random) == 0)
+    return Placement{*Other, 1};
+  std::uniform_real_distribution<double> Draw(0, 1);
+  double Kept = Options[*Near].Share_;
+  double Taken = Options[*Other].Share_;
+  bool Crosses = Draw(Random) >= Kept && Draw(Random) < Taken;
+  if (Crosses)
+    return Placement{*Other, Taken};
+  return Placement{*Near, Kept + (1 - Kept) * (1 - Taken)};
 }
 
 } // namespace fulmarshelf
--- a/src/shell/peer_codec.cpp
+++ b/src/shell/peer_codec.cpp
@@ -140,6 +140,10 @@
                : Default;
   }
 
+  double weight(std::string_view Name) const {
+    return static_cast<double>(optionalNumber(Name, WeightUnit)) / WeightUnit;
+  }
+
   std::string optionalText(std::string_view Name) const {
     const std::string *Value = findHeader(Source_.Headers_, Name);
     return Value == nullptr ? std::string() : *Value;
@@ -166,8 +170,9 @@
   Result.Context_.Tokens_ = Fields.small("fs-tokens");
   Result.Context_.Budget_ = Fields.micros("fs-budget");
   Result.Context_.Idempotent_ = Fields.flag("fs-idempotent");
-  Result.Context_.Weight_ = Fields.optionalNumber("fs-weight", WeightUnit) /
-                            static_cast<double>(WeightUnit);
+  Result.Context_.Weight_ = Fields.weight("fs-weight");
+  Result.Context_.PlaceWeight_ = Fields.weight("fs-place-weight");
+  Result.Context_.Near_ = Fields.optionalNumber("fs-far", 0) == 0;
   Result.Ticket_ = Fields.optionalText("fs-ticket");
   Result.Request_ = {Fields.text(":method"), Fields.text(":path"),
                      foreignOf(Message), Message.Body_};
@@ -214,6 +219,12 @@
   auto Weight = static_cast<std::uint64_t>(Context.Weight_ * WeightUnit);
   if (Weight != WeightUnit)
     add(Result, "fs-weight", Weight);
+  auto PlaceWeight =
+      static_cast<std::uint64_t>(Context.PlaceWeight_ * WeightUnit);
+  if (PlaceWeight != WeightUnit)
+    add(Result, "fs-place-weight", PlaceWeight);
+  if (!Context.Near_)
+    add(Result, "fs-far", std::uint64_t{1});
   if (!Message.Ticket_.empty())
     add(Result, "fs-ticket", Message.Ticket_);
   addForeign(Result, Message.Request_.Headers_);
@@ -252,8 +263,13 @@
     add(Result, "fs-service", Reply.Service_);
   if (Reply.Load_.Wait_.count() > 0)
     add(Result, "fs-wait", Reply.Load_.Wait_);
-  if (Reply.Load_.Admitted_ != FullShares)
-    add(Result, "fs-admitted", sharesText(Reply.Load_.Admitted_));
+  const OwnerShares &Shares = Reply.Load_.Shares_;
+  if (Shares.Admitted_ != FullShares)
+    add(Result, "fs-admitted", sharesText(Shares.Admitted_));
+  if (Shares.Kept_ != FullShares)
+    add(Result, "fs-kept", sharesText(Shares.Kept_));
+  if (Shares.Foreign_ != FullShares)
+    add(Result, "fs-foreign", sharesText(Shares.Foreign_));
   if (Complete) {
     addForeign(Result, Reply.Response_.Headers_);
     Result.Body_ = Reply.Response_.Body_;
@@ -320,12 +336,15 @@
                   Fields.small("fs-limit"),
                   Fields.flag("fs-leaving"),
                   Micros(0),
-                  FullShares};
+                  {}};
   Result.Service_ =
       Micros(static_cast<Micros::rep>(Fields.optionalNumber("fs-service", 0)));
   Result.Load_.Wait_ =
       Micros(static_cast<Micros::rep>(Fields.optionalNumber("fs-wait", 0)));
-  readShares(Fields.optionalText("fs-admitted"), Result.Load_.Admitted_);
+  readShares(Fields.optionalText("fs-admitted"),
+             Result.Load_.Shares_.Admitted_);
+  readShares(Fields.optionalText("fs-kept"), Result.Load_.Shares_.Kept_);
+  readShares(Fields.optionalText("fs-foreign"), Result.Load_.Shares_.Foreign_);
   std::uint64_t Status = Fields.number(":status");
   if (Result.Outcome_ == Outcome::Complete)
     Result.Response_ = {static_cast<std::uint16_t>(Status), foreignOf(Message),
--- a/tests/unit/routing_test.cpp
+++ b/tests/unit/routing_test.cpp
@@ -55,7 +55,7 @@
   OwnerView View;
   LoadReport Report;
   Report.Level_ = 77;
-  View.onReport(Zero, "GET /a", Report);
+  View.onReport(Zero, "GET /a", 3, Report);
   CHECK(View.level(Zero, "GET /a") == 77);
   CHECK(View.level(Zero, "GET /b") == 0);
   CHECK(View.takeProbe(Zero, "GET /a"));
@@ -150,7 +150,7 @@
   OwnerView View;
   LoadReport Report;
   Report.Leaving_ = true;
-  View.onReport(Zero, "GET /a", Report);
+  View.onReport(Zero, "GET /a", 3, Report);
   CHECK(View.isLeaving(Zero + millis(1000)));
   CHECK_FALSE(View.isLeaving(Zero + millis(3500)));
 }
