Routes of calls are told from callers' by a sequential test

Change: work without an open call goes first; at the limit the moment after an answer counts; evidence is weighed against the chance of a caller's request.

--- a/include/fulmarshelf/detail/admission/demand_meter.hpp
+++ b/include/fulmarshelf/detail/admission/demand_meter.hpp
@@ -40,8 +40,9 @@
 
   /// @brief Takes a measurement when its time has come.
   /// @param Slots calls that may run at a time
+  /// @param Backlog time for which all that waits will hold slots
   /// @return true when shares were computed anew
-  bool update(TimePoint Now, double Slots);
+  bool update(TimePoint Now, double Slots, Micros Backlog);
 
   /// @brief Shares that fit, full ones before the first measurement.
   const OwnerShares &shares() const { return Shares_; }
@@ -61,8 +62,7 @@
     void add(std::size_t Level, double Value);
     void close(double Elapsed);
   };
-
-  void divide(double Slots);
+  void divide(double Slots, Micros Backlog);
 
   Series Roots_;   ///< with what the gates shed
   Series Near_;    ///< of the own domain, with what was moved away
--- a/include/fulmarshelf/detail/engine/node_state.hpp
+++ b/include/fulmarshelf/detail/engine/node_state.hpp
@@ -85,6 +85,12 @@
   std::uint64_t None_ = 0;      ///< of routes whose requests are calls
 };
 
+/// @brief How often work starts or gets an answer to one of its calls.
+struct WorkEvents {
+  double Rate_ = 0; ///< events per microsecond at At_, over the last second
+  TimePoint At_;
+};
+
 /// @brief All tables of one node. The systems are functions over it; none of
 /// them keeps a state of its own.
 struct NodeState {
@@ -122,6 +128,7 @@
   AdmissionGate Gate_; ///< for requests that enter here
   CallGraph Graph_;
   ParentMatches ParentMatches_;
+  WorkEvents WorkEvents_;
   std::multimap<TimePoint, WorkId> RunningEnds_; ///< as handed out
   AdmissionLevel ShortLevel_;
   AdmissionLevel LongLevel_; ///< for work whose route takes long
--- a/include/fulmarshelf/detail/engine/parent_search.hpp
+++ b/include/fulmarshelf/detail/engine/parent_search.hpp
@@ -9,9 +9,8 @@
 /// @brief Finds the running work of this VM that made a call which names no
 /// parent: a call ends when its parent ends.
 ///
-/// Where several fit, the one whose route made such calls most often is taken,
-/// and among those the most important, so that a call of important work is
-/// never shed in place of another.
+/// Where several fit, work without an open call goes first, then work whose
+/// route made such calls most often, then the one that heard an answer last.
 /// @return nullptr when the request is a caller's, as far as is known
 Work *findParentByDeadline(NodeState &Node, const Request &Target);
 
@@ -22,6 +21,8 @@
 /// @brief Keeps the index of ends while work runs.
 void noteRunning(NodeState &Node, Work &Target, Micros Handed);
 void forgetRunning(NodeState &Node, const Work &Target);
+/// @brief A matched call was answered.
+void noteCallEnd(NodeState &Node, const Request &Ended);
 
 } // namespace fulmarshelf
 
--- a/include/fulmarshelf/detail/engine/tables.hpp
+++ b/include/fulmarshelf/detail/engine/tables.hpp
@@ -34,6 +34,7 @@
   TimePoint Deadline_;
   Micros Target_{0};         ///< a good answer comes within it; 0: no such aim
   WorkId Parent_;            ///< 0 when it came from outside
+  WorkId MatchedParent_;     ///< work that its end agrees with; 0: none
   std::string ChildKey_;     ///< its key among the calls of its parent
   std::string JoinKey_;      ///< its key among the requests of outside callers
   std::uint64_t Ticket_ = 0; ///< sequence of the ticket homed here
@@ -100,6 +101,8 @@
   TimePoint Dispatched_;
   TimePoint Deadline_;
   TimePoint HandedEnd_; ///< end of the time that the backend server was given
+  unsigned OpenCalls_ = 0; ///< matched to it and not answered yet
+  TimePoint LastCallEnd_;  ///< answer of a matched call, or its own start
   bool Long_ = false;
   Rank ChildLevel_ = 0; ///< highest level met by its calls
   std::map<std::string, ChildCall> Calls_;
--- a/include/fulmarshelf/detail/routing/call_graph.hpp
+++ b/include/fulmarshelf/detail/routing/call_graph.hpp
@@ -1,6 +1,9 @@
 #ifndef FULMARSHELF_DETAIL_ROUTING_CALL_GRAPH_HPP
 #define FULMARSHELF_DETAIL_ROUTING_CALL_GRAPH_HPP
 
+#include "fulmarshelf/detail/base/time.hpp" // Micros
+
+#include <cstdint>       // uint8_t
 #include <map>           // map
 #include <string>        // string
 #include <unordered_map> // unordered_map
@@ -8,38 +11,57 @@
 
 namespace fulmarshelf {
 
+/// @brief Whose requests come in on a route.
+enum class RouteOrigin : std::uint8_t {
+  Undecided, ///< too little is known
+  Callers,   ///< callers of this VM
+  Work,      ///< running work of this VM, as calls
+};
+
 /// @brief Which routes are called by the work of which others, learned from the
 /// requests of this VM.
 ///
-/// Calls name no parent. One that ends just when some running work ends was
-/// most likely made by it; over many requests the routes of calls are told from
-/// those of callers, whose ends agree with running work only by chance.
+/// Calls name no parent. Each request is compared with the running work that
+/// could have made it, and is a hit when it agrees with some of it: it ends
+/// when the work ends, or, where its own time limit hides that, it comes just
+/// after the work got an answer. A caller's request hits by chance only, and
+/// how likely that is is known, so a few requests tell the two apart (Wald's
+/// sequential probability ratio test).
 class CallGraph {
 public:
-  /// @brief A request of a route came in whose end agrees with running work.
-  void onMatch(const std::string &Child, const std::string &Parent);
-  /// @brief A request of a route came in that agrees with no running work.
-  void onMismatch(const std::string &Child);
-
-  /// @brief True when the route's requests are calls of running work, as far
-  /// as is known.
-  bool isCalled(const std::string &Route) const;
-  /// @brief True when too little is known to tell.
-  bool isUndecided(const std::string &Route) const;
+  /// @brief A request was compared with running work.
+  /// @param Hit whether it agreed with some of it
+  /// @param Chance probability that a caller's request would have agreed
+  void onCompared(const std::string &Child, bool Hit, double Chance);
+  /// @brief A request was traced to work of a route.
+  void onTraced(const std::string &Child, const std::string &Parent);
+  /// @brief A request left itself more time than any running work has, which no
+  /// call can.
+  void onCaller(const std::string &Child);
+
+  /// @brief Notes the time that a request leaves itself.
+  /// @return true when so many requests of the route left themselves just that
+  /// and none more, that it must be a limit of their own
+  bool isAtLimit(const std::string &Child, Micros Left);
+
+  /// @brief Whose requests come in on a route, as far as is known.
+  RouteOrigin origin(const std::string &Route) const;
   /// @brief How often work of a route made a call of another.
   double strength(const std::string &Child, const std::string &Parent) const;
+  /// @brief Routes that work of a route calls. O(routes)
+  std::vector<std::string> callsOf(const std::string &Parent) const;
   /// @brief True when work of a route is known to make calls. O(routes)
   bool hasCalls(const std::string &Parent) const {
     return !callsOf(Parent).empty();
   }
-  /// @brief Routes that work of a route calls. O(routes)
-  std::vector<std::string> callsOf(const std::string &Parent) const;
 
 private:
   struct Entry {
-    double Seen_ = 0;
-    double Matched_ = 0;
+    double Evidence_ = 0; ///< log of the odds that work calls it
+    double Traced_ = 0;
     std::map<std::string, double> Parents_;
+    Micros MostLeft_{0};      ///< longest time left that was seen
+    unsigned SeenAtMost_ = 0; ///< requests that left themselves just that
   };
 
   Entry *touch(const std::string &Child);
--- a/src/admission/demand_meter.cpp
+++ b/src/admission/demand_meter.cpp
@@ -11,10 +11,14 @@
 // Time over which demand is averaged: a chain of calls several hundred
 // milliseconds long should count as one piece of demand and not as a series of
 // bursts.
-constexpr double SmoothingMicros = 500'000;
+constexpr double SmoothingMicros = 300'000;
 // Random arrivals need some free slots to keep the queue short; at 0.92 of the
 // slots the mean wait in a queue of 15 servers is half a service time.
 constexpr double UsableShare = 0.92;
+// A queue that has formed is worked off within this time: half of the shortest
+// patience of a chain, so that what waits is still wanted.
+constexpr double DrainMicros = 400'000;
+constexpr double LeastUsableShare = 0.3;
 // Demand is moved to other domains before a queue forms at all.
 constexpr double KeptShare = 0.85;
 // A trickle is let through even when nothing fits, so that the end of the
@@ -52,7 +56,7 @@
   Place.add(Level, Holding * std::max(1.0, Arrival.PlaceWeight_));
 }
 
-bool DemandMeter::update(TimePoint Now, double Slots) {
+bool DemandMeter::update(TimePoint Now, double Slots, Micros Backlog) {
   if (Since_ == TimePoint{})
     Since_ = Now;
   auto Elapsed = static_cast<double>((Now - Since_).count());
@@ -62,12 +66,14 @@
   Roots_.close(Elapsed);
   Near_.close(Elapsed);
   Foreign_.close(Elapsed);
-  divide(std::max(1.0, Slots));
+  divide(std::max(1.0, Slots), Backlog);
   return true;
 }
 
-void DemandMeter::divide(double Slots) {
-  double LeftForRoots = Slots * UsableShare;
+void DemandMeter::divide(double Slots, Micros Backlog) {
+  double Draining = static_cast<double>(Backlog.count()) / DrainMicros;
+  double LeftForRoots =
+      std::max(Slots * LeastUsableShare, Slots * UsableShare - Draining);
   double LeftForPlaces = Slots * KeptShare;
   for (std::size_t Level = ImportanceLevels; Level > 0; --Level) {
     std::size_t Index = Level - 1;
--- a/src/engine/answer_system.cpp
+++ b/src/engine/answer_system.cpp
@@ -1,7 +1,7 @@
-#include "fulmarshelf/detail/engine/answers.hpp" // toResponse
-#include "fulmarshelf/detail/engine/systems.hpp" // answer_system
-
-#include <algorithm> // max, min
+#include "fulmarshelf/detail/engine/answers.hpp"       // toResponse
+#include "fulmarshelf/detail/engine/parent_search.hpp" // noteCallEnd
+#include "fulmarshelf/detail/engine/systems.hpp"       // answer_system
+#include <algorithm>                                   // max, min
 
 namespace fulmarshelf::answer_system {
 
@@ -114,6 +114,8 @@
     Node.Tickets_.finish(Target.Ticket_, Reply);
   if (Target.Parent_.Value_ != 0)
     returnToParent(Node, Target, Reply);
+  if (Target.MatchedParent_.Value_ != 0)
+    noteCallEnd(Node, Target);
   if (!Target.JoinKey_.empty())
     Node.Joinable_.erase(Target.JoinKey_);
   Node.Requests_.erase(Id);
--- a/src/engine/entry_system.cpp
+++ b/src/engine/entry_system.cpp
@@ -323,9 +323,11 @@
 // A call that names no parent takes over its importance from the work that made
 // it, so that it is shed with its root and not on its own.
 bool inheritByDeadline(NodeState &Node, Request &Fresh) {
-  const Work *Parent = findParentByDeadline(Node, Fresh);
+  Work *Parent = findParentByDeadline(Node, Fresh);
   if (Parent == nullptr)
     return false;
+  Fresh.MatchedParent_ = Parent->Id_;
+  ++Parent->OpenCalls_;
   const CallContext &Above = Parent->Context_;
   Fresh.Context_.Root_ = Above.Root_;
   Fresh.Context_.Depth_ = Above.Depth_ + 1;
@@ -336,7 +338,10 @@
        {"id", Fresh.Facts_.CallerRequestId_},
        {"work", toString(Parent->Id_)},
        {"parent", Above.CallerRequestId_},
-       {"route", Parent->Route_}});
+       {"route", Parent->Route_},
+       {"offset", std::to_string(
+                      (Node.Now_ + *Fresh.Facts_.TimeLeft_ - Parent->HandedEnd_)
+                          .count())}});
   return true;
 }
 
@@ -349,9 +354,11 @@
 }
 
 // Lets a fresh request in if its share of what fits behind its route is not
-// used up. Calls are past the gate: their root was let in.
+// used up. Calls are past the gate, their root was let in; so is what may be a
+// call as far as is known.
 bool passGate(NodeState &Node, Request &Fresh, const EffectiveRules &Rules) {
-  if (inheritByDeadline(Node, Fresh) || Node.Graph_.isCalled(Fresh.Route_))
+  if (inheritByDeadline(Node, Fresh) ||
+      Node.Graph_.origin(Fresh.Route_) != RouteOrigin::Callers)
     return true;
   AdmissionGate::Verdict Verdict =
       Node.Gate_.decide(Node.Now_, Fresh.Route_, Rules.Importance_);
@@ -417,6 +424,7 @@
        {"id", Fresh.Facts_.CallerRequestId_},
        {"route", Fresh.Route_},
        {"service", Fresh.Service_},
+       {"connection", std::to_string(Fresh.Facts_.Connection_)},
        {"settings", std::to_string(Rules ? Rules->Version_ : 0)},
        {"from", Input.FromBackend_ ? "backend" : "caller"}});
   if (std::optional<ErrorCode> Why = phaseRefusal(Node, Input)) {
--- a/src/engine/owner_system.cpp
+++ b/src/engine/owner_system.cpp
@@ -64,7 +64,8 @@
   const CallContext &Context = Fresh.Context_;
   Node.Demand_.onArrival({importanceOf(Context.Rank_), Holding, Context.Weight_,
                           Context.PlaceWeight_, Context.Near_});
-  if (!Node.Demand_.update(Node.Now_, Node.Limit_.limit()))
+  if (!Node.Demand_.update(Node.Now_, Node.Limit_.limit(),
+                           Node.Queue_.predictedWait(0, 1)))
     return;
   log(Node, EventNumber::DemandMeasured,
       {{"slots", std::to_string(Node.Limit_.limit())},
--- a/src/engine/parent_search.cpp
+++ b/src/engine/parent_search.cpp
@@ -1,6 +1,7 @@
 #include "fulmarshelf/detail/engine/parent_search.hpp"
 
-#include <algorithm> // max
+#include <algorithm> // max, min
+#include <cmath>     // exp
 #include <iterator>  // prev
 
 namespace fulmarshelf {
@@ -9,26 +10,36 @@
 
 // A call's end differs from its parent's by the way there and back on one VM
 // and by two roundings to a millisecond.
-constexpr Micros EarlyTolerance = millis(2);
-constexpr Micros LateTolerance = millis(4);
-// Twice the tolerance keeps two ends apart; giving up a few milliseconds out of
-// hundreds costs the work nothing.
-constexpr Micros EndDistance = millis(6);
+constexpr Micros EarlyTolerance = Micros(1500);
+constexpr Micros LateTolerance = Micros(2500);
+// More than the tolerance keeps two ends apart; giving up a few milliseconds
+// out of hundreds costs the work nothing.
+constexpr Micros EndDistance = millis(5);
 constexpr int MaxShortened = 12; // milliseconds
 constexpr Micros LeastToShorten = millis(100);
+// Between an answer and the next call, work does a slice of its own, which for
+// the short work that makes many calls takes a few milliseconds.
+constexpr Micros SoonAfter = millis(5);
+constexpr double EventMemoryMicros = 1e6;
 
 struct Choice {
   Work *Best_ = nullptr;
   unsigned Fitting_ = 0;
 };
 
+// Most work makes its calls one after the other, and the next one soon after
+// the answer to the last.
 bool isBetter(const NodeState &Node, const Request &Target, const Work &Left,
               const Work &Right) {
+  bool LeftIdle = Left.OpenCalls_ == 0;
+  bool RightIdle = Right.OpenCalls_ == 0;
+  if (LeftIdle != RightIdle)
+    return LeftIdle;
   double LeftStrength = Node.Graph_.strength(Target.Route_, Left.Route_);
   double RightStrength = Node.Graph_.strength(Target.Route_, Right.Route_);
   if (LeftStrength != RightStrength)
     return LeftStrength > RightStrength;
-  return Left.Context_.Rank_ > Right.Context_.Rank_;
+  return Left.LastCallEnd_ > Right.LastCallEnd_;
 }
 
 Choice chooseBetween(NodeState &Node, const Request &Target, TimePoint From,
@@ -45,6 +56,56 @@
   return Result;
 }
 
+Micros longestLeft(const NodeState &Node) {
+  if (Node.RunningEnds_.empty())
+    return Micros(0);
+  return std::prev(Node.RunningEnds_.end())->first - Node.Now_;
+}
+
+// Part of all moments at which some running work ends.
+double chanceOfSameEnd(const NodeState &Node) {
+  double Covered =
+      static_cast<double>((EarlyTolerance + LateTolerance).count() *
+                          static_cast<std::int64_t>(Node.RunningEnds_.size()));
+  double Span = std::max(1.0, static_cast<double>(longestLeft(Node).count()));
+  return 1 - std::exp(-Covered / Span);
+}
+
+double eventRate(const NodeState &Node) {
+  auto Age = static_cast<double>((Node.Now_ - Node.WorkEvents_.At_).count());
+  return Node.WorkEvents_.Rate_ * std::exp(-Age / EventMemoryMicros);
+}
+
+// Part of all moments that come soon after some work started or got an answer.
+double chanceOfSoonAfter(const NodeState &Node) {
+  return 1 -
+         std::exp(-eventRate(Node) * static_cast<double>(SoonAfter.count()));
+}
+
+void noteEvent(NodeState &Node) {
+  Node.WorkEvents_.Rate_ = eventRate(Node) + 1 / EventMemoryMicros;
+  Node.WorkEvents_.At_ = Node.Now_;
+}
+
+// A request at its own limit: its end says nothing, its moment does.
+Choice traceByMoment(NodeState &Node, const Request &Target) {
+  TimePoint End = Node.Now_ + *Target.Facts_.TimeLeft_;
+  Choice Made = chooseBetween(Node, Target, End, TimePoint::max());
+  bool Soon = Made.Best_ != nullptr && Made.Best_->OpenCalls_ == 0 &&
+              Node.Now_ - Made.Best_->LastCallEnd_ <= SoonAfter;
+  Node.Graph_.onCompared(Target.Route_, Soon, chanceOfSoonAfter(Node));
+  return Made;
+}
+
+Choice traceByEnd(NodeState &Node, const Request &Target) {
+  TimePoint End = Node.Now_ + *Target.Facts_.TimeLeft_;
+  Choice Made =
+      chooseBetween(Node, Target, End - EarlyTolerance, End + LateTolerance);
+  Node.Graph_.onCompared(Target.Route_, Made.Best_ != nullptr,
+                         chanceOfSameEnd(Node));
+  return Made;
+}
+
 void count(NodeState &Node, const Choice &Made) {
   if (Made.Fitting_ > 1)
     ++Node.ParentMatches_.Ambiguous_;
@@ -60,21 +121,20 @@
   const std::string &Route = Target.Route_;
   if (!Target.Facts_.TimeLeft_)
     return nullptr;
-  TimePoint End = Node.Now_ + *Target.Facts_.TimeLeft_;
+  Micros Left = *Target.Facts_.TimeLeft_;
+  bool AtLimit = Node.Graph_.isAtLimit(Route, Left);
+  if (Left > longestLeft(Node) + LateTolerance) {
+    Node.Graph_.onCaller(Route);
+    return nullptr;
+  }
   Choice Made =
-      chooseBetween(Node, Target, End - EarlyTolerance, End + LateTolerance);
-  bool Exact = Made.Best_ != nullptr;
-  bool Called = Node.Graph_.isCalled(Route);
-  // A call that has a shorter limit of its own ends before its parent does.
-  if (!Exact && Called)
-    Made = chooseBetween(Node, Target, End, TimePoint::max());
-  if (Exact)
-    Node.Graph_.onMatch(Route, Made.Best_->Route_);
-  else if (!Called || Made.Best_ == nullptr)
-    Node.Graph_.onMismatch(Route);
-  if (!Called && !Node.Graph_.isUndecided(Route))
+      AtLimit ? traceByMoment(Node, Target) : traceByEnd(Node, Target);
+  RouteOrigin Origin = Node.Graph_.origin(Route);
+  if (Origin == RouteOrigin::Callers)
     return nullptr;
-  if (Called)
+  if (Made.Best_ != nullptr)
+    Node.Graph_.onTraced(Route, Made.Best_->Route_);
+  if (Origin == RouteOrigin::Work)
     count(Node, Made);
   return Made.Best_;
 }
@@ -95,7 +155,9 @@
 
 void noteRunning(NodeState &Node, Work &Target, Micros Handed) {
   Target.HandedEnd_ = Node.Now_ + Handed;
+  Target.LastCallEnd_ = Node.Now_;
   Node.RunningEnds_.emplace(Target.HandedEnd_, Target.Id_);
+  noteEvent(Node);
 }
 
 void forgetRunning(NodeState &Node, const Work &Target) {
@@ -107,4 +169,14 @@
     }
 }
 
+void noteCallEnd(NodeState &Node, const Request &Ended) {
+  auto Found = Node.Works_.find(Ended.MatchedParent_);
+  if (Found == Node.Works_.end())
+    return;
+  Work &Parent = Found->second;
+  Parent.OpenCalls_ -= std::min(Parent.OpenCalls_, 1U);
+  Parent.LastCallEnd_ = Node.Now_;
+  noteEvent(Node);
+}
+
 } // namespace fulmarshelf
--- a/tools/relay.cpp
+++ b/tools/relay.cpp
@@ -244,7 +244,8 @@
   HttpService *Answers = nullptr;
   HttpService Service(
       Context, AdminPlace, 0, 16, HttpLimits(),
-      {[&Answers, &Common](CallerKey Caller, const HttpRequest &Request) {
+      {[&Answers, &Common](CallerKey Caller, const HttpRequest &Request,
+                           ConnectionId) {
          Answers->respond(Caller, administer(Request, Common));
        },
        [](CallerKey) {}});
