Bound on repeats over all nodes; unit tests of the platform path and the overload decisions

Repeats are counted over a sliding window; each node may use seven tenths of the ratio for its own requests and its part of the slack; calls of work that is itself a repeat count too.

--- a/include/fulmarshelf/detail/engine/node_state.hpp
+++ b/include/fulmarshelf/detail/engine/node_state.hpp
@@ -9,6 +9,7 @@
 #include "fulmarshelf/detail/engine/actions.hpp"            // Action
 #include "fulmarshelf/detail/engine/tables.hpp"             // entities
 #include "fulmarshelf/detail/membership/membership.hpp"     // Membership
+#include "fulmarshelf/detail/retry/repeat_window.hpp"       // RepeatWindow
 #include "fulmarshelf/detail/retry/retry_budget.hpp"        // RetryBudget
 #include "fulmarshelf/detail/revocation/attempt_ledger.hpp" // AttemptLedger
 #include "fulmarshelf/detail/routing/call_graph.hpp"        // CallGraph
@@ -114,6 +115,7 @@
   std::unordered_map<LinkId, Link> Links_;
   std::unordered_map<std::string, PeerView> Peers_;
   std::unordered_map<std::string, RetryBudget> Budgets_;
+  std::unordered_map<std::string, RepeatWindow> Repeats_; ///< by service
   std::unordered_map<std::string, std::size_t> RoundRobin_;
   std::unordered_map<std::string, SplitCounter> Splits_; ///< by route
   Backend Backend_;
@@ -169,6 +171,9 @@
 /// @brief True when requests are matched against the route table.
 bool hasRouteTable(const NodeState &Node);
 
+/// @brief This node's part of the bound on repeats of a service.
+RepeatBound repeatBound(const NodeState &Node);
+
 /// @brief This node's name.
 const std::string &ownName(const NodeState &Node);
 
--- a/include/fulmarshelf/detail/shell/http_service.hpp
+++ b/include/fulmarshelf/detail/shell/http_service.hpp
@@ -17,7 +17,7 @@
 class HttpService {
 public:
   struct Handlers {
-    std::function<void(CallerKey, HttpRequest, ConnectionId)> OnRequest_;
+    std::function<void(CallerKey, HttpRequest)> OnRequest_;
     std::function<void(CallerKey)> OnGone_; ///< before the answer
   };
 
--- a/include/fulmarshelf/detail/shell/node_shell.hpp
+++ b/include/fulmarshelf/detail/shell/node_shell.hpp
@@ -51,10 +51,8 @@
   void sendDatagram(const SendDatagram &Wanted);
   void dispatch(const DispatchWork &Wanted);
   void onBackendDone(HttpCallId Call, const HttpResult &Result);
-  void onRequest(CallerKey Caller, bool FromBackend, HttpRequest Request,
-                 ConnectionId Source);
-  void onBackendRequest(CallerKey Caller, HttpRequest Request,
-                        ConnectionId Source);
+  void onRequest(CallerKey Caller, bool FromBackend, HttpRequest Request);
+  void onBackendRequest(CallerKey Caller, HttpRequest Request);
   void onOperatorRequest(CallerKey Caller, const HttpRequest &Request);
   HttpResponse operatorPage(const HttpRequest &Request);
   HttpResponse readinessPage() const;
--- a/include/fulmarshelf/detail/wire/http.hpp
+++ b/include/fulmarshelf/detail/wire/http.hpp
@@ -44,7 +44,6 @@
   std::string IdempotencyKey_;     ///< empty: none
   std::string Parent_;             ///< work that makes this call; empty: none
   std::string CallerRequestId_;    ///< the caller's own id; empty: none
-  std::uint64_t Connection_ = 0;   ///< on which it came; 0: not known
   friend bool operator==(const RequestFacts &, const RequestFacts &) = default;
 };
 
--- a/include/fulmarshelf/detail/wire/messages.hpp
+++ b/include/fulmarshelf/detail/wire/messages.hpp
@@ -90,6 +90,7 @@
   double PlaceWeight_ = 1;   ///< calls that would have come to this owner
   bool Near_ = true;         ///< entry and owner are in one failure domain
   bool Idempotent_ = true;
+  bool Repeat_ = false; ///< a backend server may have run it before
   friend bool operator==(const CallContext &, const CallContext &) = default;
 };
 
--- a/src/engine/attempt_system.cpp
+++ b/src/engine/attempt_system.cpp
@@ -127,14 +127,22 @@
   return Ended;
 }
 
+// What may have arrived once makes the next attempt a repeat.
+bool takeRepeat(NodeState &Node, Request &Target) {
+  if (!hasRouteTable(Node))
+    return Node.Budgets_[Target.Service_].take();
+  Target.Context_.Repeat_ = true;
+  return Node.Repeats_[Target.Service_].take(Node.Now_, repeatBound(Node));
+}
+
 // The service's budget keeps retries from adding work under overload. An
 // attempt that never arrived added none, so its retry costs only a token.
 bool mayRetry(NodeState &Node, Request &Target) {
   if (!hasFullPolicy(Node))
     return Target.Tries_ < BaselineTries;
   bool NeverArrived = Target.LastError_ == ErrorCode::LinkFailed;
-  bool Allowed = Target.Context_.Tokens_ > 0 &&
-                 (NeverArrived || Node.Budgets_[Target.Service_].take());
+  bool Allowed =
+      Target.Context_.Tokens_ > 0 && (NeverArrived || takeRepeat(Node, Target));
   if (Allowed)
     --Target.Context_.Tokens_;
   else
--- a/src/engine/entry_system.cpp
+++ b/src/engine/entry_system.cpp
@@ -332,6 +332,9 @@
   Fresh.Context_.Root_ = Above.Root_;
   Fresh.Context_.Depth_ = Above.Depth_ + 1;
   Fresh.Context_.Weight_ = Above.Weight_;
+  Fresh.Context_.Repeat_ = Above.Repeat_;
+  if (Above.Repeat_)
+    Node.Repeats_[Fresh.Service_].onForced(Node.Now_, repeatBound(Node));
   Fresh.Context_.Rank_ = makeRank(importanceOf(Above.Rank_), true, Above.Rank_);
   log(Node, EventNumber::CallMatched,
       {{"request", toString(Fresh.Id_)},
@@ -424,7 +427,6 @@
        {"id", Fresh.Facts_.CallerRequestId_},
        {"route", Fresh.Route_},
        {"service", Fresh.Service_},
-       {"connection", std::to_string(Fresh.Facts_.Connection_)},
        {"settings", std::to_string(Rules ? Rules->Version_ : 0)},
        {"from", Input.FromBackend_ ? "backend" : "caller"}});
   if (std::optional<ErrorCode> Why = phaseRefusal(Node, Input)) {
@@ -447,6 +449,8 @@
   }
   fillFromRules(Node, Fresh, *Rules);
   Node.Budgets_[Fresh.Service_].onFresh(Rules->RetryShare_);
+  if (hasRouteTable(Node))
+    Node.Repeats_[Fresh.Service_].onFresh(Node.Now_, repeatBound(Node));
   startByKind(Node, std::move(Fresh), Input.FromBackend_, *Rules);
 }
 
--- a/src/engine/node_state.cpp
+++ b/src/engine/node_state.cpp
@@ -6,6 +6,12 @@
 
 namespace {
 
+// The bound holds for windows that begin anywhere and for requests as callers
+// sent them, which this node counts a little later and in other windows.
+constexpr double UsedRatio = 0.7;
+// Members that this node has not met yet take their part as well.
+constexpr double UsedSlack = 0.6;
+
 Member selfMember(const EngineConfig &Config) {
   Member Self;
   Self.Node_ = Config.Settings_.Name_;
@@ -62,6 +68,13 @@
   return Node.Config_.Settings_.Interface_ == InterfaceKind::Platform;
 }
 
+RepeatBound repeatBound(const NodeState &Node) {
+  const MeshBounds &Bounds = Node.Config_.Settings_.Bounds_;
+  auto Nodes = static_cast<double>(Node.Membership_.all().size() + 1);
+  return {Bounds.RepeatRatio_ * UsedRatio,
+          Bounds.RepeatSlack_ * UsedSlack / Nodes, Bounds.RepeatWindow_};
+}
+
 const std::string &ownName(const NodeState &Node) {
   return Node.Config_.Settings_.Name_;
 }
--- a/src/engine/owner_system.cpp
+++ b/src/engine/owner_system.cpp
@@ -60,6 +60,8 @@
 }
 
 void measureDemand(NodeState &Node, const Work &Fresh) {
+  if (!hasRouteTable(Node))
+    return;
   Micros Holding = Node.WorkTimes_.expected(Fresh.Route_);
   const CallContext &Context = Fresh.Context_;
   Node.Demand_.onArrival({importanceOf(Context.Rank_), Holding, Context.Weight_,
--- a/src/shell/http_service.cpp
+++ b/src/shell/http_service.cpp
@@ -112,7 +112,7 @@
     CallerKey Caller{++LastKey_};
     Entry.Caller_ = Caller;
     Callers_[Caller] = Source;
-    Calls_.OnRequest_(Caller, std::move(Request), Source);
+    Calls_.OnRequest_(Caller, std::move(Request));
     return;
   }
   if (!Entry.Http_.wantsClose() || Entry.Http_.isBusy())
--- a/src/shell/node_shell.cpp
+++ b/src/shell/node_shell.cpp
@@ -153,24 +153,23 @@
       Events_(Config.Settings_.Name_, Config.Settings_.LogFile_,
               Config.Settings_.LogLevel_),
       Engine_(Config),
-      Callers_(
-          Context, Config.Settings_.CallerAddress_, CallerKeySpace,
-          MaxCallerConnections, HttpLimits(),
-          {[this](CallerKey Caller, HttpRequest Request, ConnectionId Source) {
-             onRequest(Caller, false, std::move(Request), Source);
-           },
-           [this](CallerKey Caller) { feed(CallerGone{Caller}); }}),
-      BackendSide_(
-          Context, Config.Settings_.BackendAddress_, BackendKeySpace,
-          MaxCallerConnections, HttpLimits(),
-          {[this](CallerKey Caller, HttpRequest Request, ConnectionId Source) {
-             onBackendRequest(Caller, std::move(Request), Source);
-           },
-           [this](CallerKey Caller) { feed(CallerGone{Caller}); }}),
+      Callers_(Context, Config.Settings_.CallerAddress_, CallerKeySpace,
+               MaxCallerConnections, HttpLimits(),
+               {[this](CallerKey Caller, HttpRequest Request) {
+                  onRequest(Caller, false, std::move(Request));
+                },
+                [this](CallerKey Caller) { feed(CallerGone{Caller}); }}),
+      BackendSide_(Context, Config.Settings_.BackendAddress_, BackendKeySpace,
+                   MaxCallerConnections, HttpLimits(),
+                   {[this](CallerKey Caller, HttpRequest Request) {
+                      onBackendRequest(Caller, std::move(Request));
+                    },
+                    [this](CallerKey Caller) { feed(CallerGone{Caller}); }}),
       Operators_(Context, Config.Settings_.OperatorAddress_, OperatorKeySpace,
                  MaxOperatorConnections, HttpLimits(),
-                 {[this](CallerKey Caller, const HttpRequest &Request,
-                         ConnectionId) { onOperatorRequest(Caller, Request); },
+                 {[this](CallerKey Caller, const HttpRequest &Request) {
+                    onOperatorRequest(Caller, Request);
+                  },
                   [](CallerKey) {}}),
       Peers_(Context, Config.Settings_.PeerAddress_,
              HelloMessage{Config.Settings_.Name_, Config.Incarnation_},
@@ -192,7 +191,7 @@
         Context, Config.Settings_.MetricsAddress_, MetricsKeySpace,
         MaxOperatorConnections, HttpLimits(),
         HttpService::Handlers{
-            [this](CallerKey Caller, const HttpRequest &Request, ConnectionId) {
+            [this](CallerKey Caller, const HttpRequest &Request) {
               MetricsPages_->respond(Caller, operatorPage(Request));
             },
             [](CallerKey) {}});
@@ -248,13 +247,12 @@
 }
 
 void NodeShell::onRequest(CallerKey Caller, bool FromBackend,
-                          HttpRequest Request, ConnectionId Source) {
+                          HttpRequest Request) {
   IncomingRequest Decoded = std::visit(
       [&Request](const auto &Spoken) {
         return Spoken.decodeRequest(std::move(Request));
       },
       Dialect_);
-  Decoded.Facts_.Connection_ = Source.Value_;
   feed(CallerArrived{Caller, FromBackend, std::move(Decoded)});
 }
 
@@ -383,13 +381,12 @@
   void operator()(const BackendDeparted &Notice) const { Shell_.feed(Notice); }
 };
 
-void NodeShell::onBackendRequest(CallerKey Caller, HttpRequest Request,
-                                 ConnectionId Source) {
+void NodeShell::onBackendRequest(CallerKey Caller, HttpRequest Request) {
   BackendNotice Notice = std::visit(
       [&Request](const auto &Spoken) { return Spoken.decodeNotice(Request); },
       Dialect_);
   if (std::holds_alternative<NoNotice>(Notice)) {
-    onRequest(Caller, true, std::move(Request), Source);
+    onRequest(Caller, true, std::move(Request));
     return;
   }
   std::visit(NoticeVisitor{*this}, Notice);
--- a/src/shell/peer_codec.cpp
+++ b/src/shell/peer_codec.cpp
@@ -173,6 +173,7 @@
   Result.Context_.Weight_ = Fields.weight("fs-weight");
   Result.Context_.PlaceWeight_ = Fields.weight("fs-place-weight");
   Result.Context_.Near_ = Fields.optionalNumber("fs-far", 0) == 0;
+  Result.Context_.Repeat_ = Fields.optionalNumber("fs-repeat", 0) != 0;
   Result.Ticket_ = Fields.optionalText("fs-ticket");
   Result.Request_ = {Fields.text(":method"), Fields.text(":path"),
                      foreignOf(Message), Message.Body_};
@@ -225,6 +226,8 @@
     add(Result, "fs-place-weight", PlaceWeight);
   if (!Context.Near_)
     add(Result, "fs-far", std::uint64_t{1});
+  if (Context.Repeat_)
+    add(Result, "fs-repeat", std::uint64_t{1});
   if (!Message.Ticket_.empty())
     add(Result, "fs-ticket", Message.Ticket_);
   addForeign(Result, Message.Request_.Headers_);
--- /dev/null
+++ b/tests/unit/overload_test.cpp
@@ -0,0 +1,229 @@
+#include "fulmarshelf/detail/admission/admission_gate.hpp" // AdmissionGate
+#include "fulmarshelf/detail/admission/demand_meter.hpp"   // DemandMeter
+#include "fulmarshelf/detail/admission/work_limit.hpp"     // WorkLimit
+#include "fulmarshelf/detail/retry/repeat_window.hpp"      // RepeatWindow
+#include "fulmarshelf/detail/routing/call_graph.hpp"       // CallGraph
+#include "fulmarshelf/detail/routing/owner_choice.hpp"     // chooseByCompletion
+
+#include <CppUTest/TestHarness.h> // TEST
+
+using namespace fulmarshelf;
+
+namespace {
+
+constexpr TimePoint Zero{millis(1000)};
+
+// Feeds a steady demand into a meter: every millisecond one arrival of each
+// given kind.
+void feed(DemandMeter &Meter, TimePoint &Now, Micros Length,
+          const std::vector<DemandArrival> &Kinds, double Slots) {
+  for (TimePoint End = Now + Length; Now < End; Now += millis(1)) {
+    for (const DemandArrival &Arrival : Kinds)
+      Meter.onArrival(Arrival);
+    Meter.update(Now, Slots, Micros(0));
+  }
+}
+
+double shareOf(std::uint8_t Share) {
+  return static_cast<double>(Share) / FullShare;
+}
+
+Candidate candidate(const char *Name, bool Near, Micros Service, Micros Wait,
+                    double Share) {
+  Candidate Result;
+  Result.Node_ = Name;
+  Result.Near_ = Near;
+  Result.Service_ = Service;
+  Result.Wait_ = Wait;
+  Result.Share_ = Share;
+  return Result;
+}
+
+// Part of many choices that fall on a candidate of another domain.
+double crossing(const std::vector<Candidate> &Options, Micros Margin) {
+  std::mt19937_64 Random(3);
+  int Crossed = 0;
+  for (int Round = 0; Round < 10'000; ++Round)
+    Crossed +=
+        Options[chooseByCompletion(Options, Margin, Random)->Index_].Near_ ? 0
+                                                                           : 1;
+  return Crossed / 10'000.0;
+}
+
+} // namespace
+
+TEST_GROUP(Overload) { TimePoint Now_ = Zero; };
+
+// Important work takes 6 of 10 slots, lesser work asks for 10: of the lesser
+// work the part fits that is left of the usable slots.
+TEST(Overload, SharesFollowImportance) {
+  DemandMeter Meter;
+  feed(Meter, Now_, millis(3000),
+       {{9, millis(6), 1, 1, true}, {7, millis(10), 1, 1, true}}, 10);
+  CHECK(Meter.shares().Admitted_[9] == FullShare);
+  DOUBLES_EQUAL(0.32, shareOf(Meter.shares().Admitted_[7]), 0.02);
+}
+
+// What the gates hold back counts as if it had come, so that the share does not
+// change because it is applied.
+TEST(Overload, SharesDoNotDependOnWhatIsShed) {
+  DemandMeter Meter;
+  feed(Meter, Now_, millis(3000),
+       {{9, millis(6), 1, 1, true}, {7, millis(2), 5, 1, true}}, 10);
+  DOUBLES_EQUAL(0.32, shareOf(Meter.shares().Admitted_[7]), 0.02);
+}
+
+TEST(Overload, BacklogIsWorkedOff) {
+  DemandMeter Meter;
+  feed(Meter, Now_, millis(3000), {{7, millis(8), 1, 1, true}}, 10);
+  CHECK(Meter.shares().Admitted_[7] == FullShare);
+  Meter.onArrival({7, millis(800), 1, 1, true});
+  Now_ += DemandMeter::Interval;
+  Meter.update(Now_, 10, millis(2000));
+  CHECK(shareOf(Meter.shares().Admitted_[7]) < 0.75);
+}
+
+TEST(Overload, OwnDomainGoesBeforeForeignDemand) {
+  DemandMeter Meter;
+  feed(Meter, Now_, millis(3000),
+       {{7, millis(6), 1, 1, true}, {7, millis(10), 1, 1, false}}, 10);
+  CHECK(Meter.shares().Kept_[7] == FullShare);
+  DOUBLES_EQUAL(0.25, shareOf(Meter.shares().Foreign_[7]), 0.03);
+}
+
+TEST(Overload, TrickleStaysOpen) {
+  DemandMeter Meter;
+  feed(Meter, Now_, millis(3000),
+       {{9, millis(50), 1, 1, true}, {7, millis(10), 1, 1, true}}, 10);
+  CHECK(shareOf(Meter.shares().Admitted_[7]) > 0.01);
+  CHECK(shareOf(Meter.shares().Admitted_[7]) < 0.03);
+}
+
+TEST(Overload, GateLetsInJustTheShare) {
+  AdmissionGate Gate;
+  AdmittedShares Half = FullShares;
+  Half[7] = FullShare / 2;
+  for (int Round = 0; Round < 100; ++Round)
+    Gate.learn(Now_ + millis(Round * 10), "r", Half);
+  TimePoint Later = Now_ + millis(1000);
+  int Admitted = 0;
+  for (int Round = 0; Round < 1000; ++Round) {
+    Admitted += Gate.decide(Later, "r", 7).Admitted_ ? 1 : 0;
+    CHECK(Gate.decide(Later, "r", 9).Admitted_);
+    CHECK(Gate.decide(Later, "other", 7).Admitted_);
+  }
+  DOUBLES_EQUAL(500, Admitted, 10);
+}
+
+// The trigger has passed and nobody says anything any more.
+TEST(Overload, GateOpensWithinTwoSecondsOfSilence) {
+  AdmissionGate Gate;
+  AdmittedShares Shut{};
+  for (int Round = 0; Round < 100; ++Round)
+    Gate.learn(Now_ + millis(Round * 10), "r", Shut);
+  CHECK_FALSE(Gate.decide(Now_ + millis(1000), "r", 7).Admitted_);
+  CHECK(Gate.shares(Now_ + millis(2500), "r") == FullShares);
+}
+
+TEST(Overload, CallsAreToldFromCallersRequests) {
+  CallGraph Graph;
+  for (int Round = 0; Round < 20; ++Round) {
+    Graph.onCompared("called", Round % 10 != 0, 0.3);
+    Graph.onTraced("called", "parent");
+    Graph.onCompared("by-chance", Round % 3 == 0, 0.3);
+    Graph.onCaller("from-callers");
+  }
+  CHECK(Graph.origin("called") == RouteOrigin::Work);
+  CHECK(Graph.origin("by-chance") == RouteOrigin::Callers);
+  CHECK(Graph.origin("from-callers") == RouteOrigin::Callers);
+  CHECK(Graph.origin("never-seen") == RouteOrigin::Undecided);
+  CHECK(Graph.callsOf("parent") == std::vector<std::string>{"called"});
+}
+
+TEST(Overload, LimitOfCallsShowsAtTheTop) {
+  CallGraph Graph;
+  for (int Left : {640, 700, 700, 680, 700})
+    CHECK_FALSE(Graph.isAtLimit("r", millis(Left)));
+  CHECK(Graph.isAtLimit("r", millis(700)));
+  CHECK_FALSE(Graph.isAtLimit("r", millis(699)));
+  CHECK_FALSE(Graph.isAtLimit("r", millis(900)));
+}
+
+// One call in a hundred is a probe, so nothing is ever quite 0.
+TEST(Overload, SomewhatFasterIsNotWorthACrossing) {
+  std::vector<Candidate> Options = {
+      candidate("near", true, millis(43), millis(0), 1),
+      candidate("far", false, millis(20), millis(0), 1)};
+  CHECK(crossing(Options, millis(30)) < 0.02);
+}
+
+TEST(Overload, SlowServerOfTheOwnDomainIsLeft) {
+  std::vector<Candidate> Options = {
+      candidate("near", true, millis(120), millis(0), 1),
+      candidate("far", false, millis(30), millis(0), 1)};
+  CHECK(crossing(Options, millis(30)) == 1);
+}
+
+TEST(Overload, WhatDoesNotFitIsMovedAsFarAsOthersHaveRoom) {
+  std::vector<Candidate> Options = {
+      candidate("near", true, millis(30), millis(0), 0.6),
+      candidate("far", false, millis(30), millis(0), 0.5)};
+  DOUBLES_EQUAL(0.2, crossing(Options, millis(30)), 0.03);
+}
+
+TEST(Overload, NothingMovesWhereNobodyHasRoom) {
+  std::vector<Candidate> Options = {
+      candidate("near", true, millis(30), millis(0), 0.4),
+      candidate("far", false, millis(30), millis(0), 0)};
+  CHECK(crossing(Options, millis(30)) < 0.02);
+}
+
+TEST(Overload, FewSlotsStayFreeAndALoweredLimitComesBack) {
+  WorkLimit Limit(true);
+  Limit.setSlots(15);
+  CHECK(Limit.limit() == 14);
+  Limit.onOverload(Now_, 14);
+  CHECK(Limit.limit() == 12);
+  for (int Round = 0; Round < 40; ++Round)
+    Limit.onAnswer(Now_ + millis(100 * Round), millis(30), millis(30), 12);
+  CHECK(Limit.limit() == 14);
+}
+
+TEST(Overload, RejectionsOfAHalfEmptyServerDoNotLowerItsLimit) {
+  WorkLimit Limit(true);
+  Limit.setSlots(15);
+  for (int Round = 0; Round < 40; ++Round)
+    Limit.onOverload(Now_ + millis(1000 * Round), 5);
+  CHECK(Limit.limit() == 14);
+}
+
+// In any window of the bound's length.
+TEST(Overload, RepeatsStayWithinTheirBound) {
+  RepeatWindow Window;
+  RepeatBound Bound{0.1, 2, millis(10'000)};
+  std::vector<TimePoint> Taken;
+  for (int Ms = 0; Ms < 60'000; Ms += 10) {
+    TimePoint Now = Zero + millis(Ms);
+    bool Calm = Ms > 20'000 && Ms < 40'000;
+    if (!Calm || Ms % 100 == 0)
+      Window.onFresh(Now, Bound);
+    if (Window.take(Now, Bound))
+      Taken.push_back(Now);
+  }
+  for (std::size_t First = 0; First < Taken.size(); ++First) {
+    std::size_t Last = First;
+    while (Last < Taken.size() && Taken[Last] < Taken[First] + millis(9500))
+      ++Last;
+    // At most 1,000 requests in a window, of which a tenth and the slack.
+    CHECK(Last - First <= 102);
+  }
+}
+
+TEST(Overload, ForcedRepeatsUseUpTheBound) {
+  RepeatWindow Window;
+  RepeatBound Bound{0, 2, millis(10'000)};
+  Window.onForced(Zero, Bound);
+  CHECK(Window.take(Zero, Bound));
+  CHECK_FALSE(Window.take(Zero, Bound));
+  CHECK(Window.take(Zero + millis(11'000), Bound));
+}
--- a/tests/unit/peer_test.cpp
+++ b/tests/unit/peer_test.cpp
@@ -3,6 +3,8 @@
 
 #include <random> // mt19937_64
 
+#include <set> // set
+
 #include <CppUTest/TestHarness.h> // TEST
 
 using namespace fulmarshelf;
@@ -14,8 +16,20 @@
   Message.Attempt_ = {"a", 3, 9};
   Message.Link_ = 4;
   Message.ToIncarnation_ = 5;
-  Message.Context_ = {"root", "guest", "shop/x/",   "id-7", 17,
-                      2,      3,       millis(250), false};
+  CallContext &Context = Message.Context_;
+  Context.Root_ = "root";
+  Context.Caller_ = "guest";
+  Context.Route_ = "shop/x/";
+  Context.CallerRequestId_ = "id-7";
+  Context.Rank_ = 17;
+  Context.Depth_ = 2;
+  Context.Tokens_ = 3;
+  Context.Budget_ = millis(250);
+  Context.Weight_ = 2.5;
+  Context.PlaceWeight_ = 1.25;
+  Context.Near_ = false;
+  Context.Idempotent_ = false;
+  Context.Repeat_ = true;
   Message.Ticket_ = "ticket";
   Message.Request_ = {"POST", "/s/x?y", {{"x-own", "v"}}, "body"};
   return Message;
@@ -123,15 +137,20 @@
 }
 
 TEST(Peer, MissingFieldsAreMalformed) {
+  // Without these the usual value holds.
+  const std::set<std::string> Optional = {
+      "fs-caller", "fs-ticket",       "fs-route", "fs-id",
+      "fs-weight", "fs-place-weight", "fs-far",   "fs-repeat"};
   PeerMessage Good = toPeer(callMessage());
   for (std::size_t Index = 0; Index < Good.Headers_.size(); ++Index) {
     PeerMessage Bad = Good;
     std::string Name = Bad.Headers_[Index].Name_;
     Bad.Headers_.erase(Bad.Headers_.begin() +
                        static_cast<std::ptrdiff_t>(Index));
-    bool Needed = Name.starts_with("fs-") && Name != "fs-caller" &&
-                  Name != "fs-ticket" && Name != "fs-route" && Name != "fs-id";
+    bool Needed = Name.starts_with("fs-") && !Optional.contains(Name);
     if (Needed)
-      CHECK(std::holds_alternative<MalformedMessage>(parsePeerRequest(Bad)));
+      CHECK_TEXT(
+          std::holds_alternative<MalformedMessage>(parsePeerRequest(Bad)),
+          Name.c_str());
   }
 }
--- /dev/null
+++ b/tests/unit/platform_test.cpp
@@ -0,0 +1,208 @@
+#include "platform/config_codec.hpp"     // parseConfig
+#include "platform/platform_dialect.hpp" // PlatformDialect
+#include "platform/store_codec.hpp"      // parseList
+
+#include "fulmarshelf/detail/engine/answers.hpp" // notRun
+
+#include <random> // mt19937_64
+
+#include <CppUTest/TestHarness.h> // TEST
+
+using namespace fulmarshelf;
+
+namespace {
+
+const std::string Config =
+    R"({"version":"0000001f","routes":{"columns":["name","host","path_prefix",)"
+    R"("kind","timeout_ms","target_latency_ms","priority","traffic_split",)"
+    R"("max_attempts","service"],"rows":[["r1","Shop.example","/a/","safe",800,)"
+    R"(1500,2,[{"service":"s1","weight":90},{"service":"s2","weight":10}],2,)"
+    R"(null],["r2","shop.example","/b/","unsafe",1000,1500,0,null,null,"s2"]]},)"
+    R"("services":{"columns":["name","health_path","max_connections"],"rows":)"
+    R"([["s1","/health",574],["s2","/up",190]]},"limits":{"max_header_bytes":)"
+    R"(16384,"max_body_bytes":1000,"header_timeout_ms":3000,)"
+    R"("idle_timeout_ms":15000},"added_later":{"x":1}})";
+
+const std::string Heartbeat =
+    R"({"service":"s1","address":"10.0.0.9:80","zone":"z","version":"v1",)"
+    R"("slots":36,"state":"ready","cold_remaining_ms":1500,"sequence":4,)"
+    R"("born":1700000000000,"new_field":{}})";
+
+std::string replaced(std::string Text, const std::string &Old,
+                     const std::string &New) {
+  return Text.replace(Text.find(Old), Old.size(), New);
+}
+
+HttpRequest heartbeat(const std::string &Body) {
+  return {"PUT", "/fulmarshelf/instances/i-7", {}, Body};
+}
+
+const std::string *fieldOf(const std::vector<Header> &Headers,
+                           const char *Name) {
+  return findHeader(Headers, Name);
+}
+
+} // namespace
+
+TEST_GROUP(Platform) {
+  PlatformDialect Dialect_{"s1", Endpoint{"10.0.0.9", 80}};
+  std::mt19937_64 Random_{5};
+
+  bool isMalformed(const std::string &Body) {
+    return std::holds_alternative<MalformedNotice>(
+        Dialect_.decodeNotice(heartbeat(Body)));
+  }
+};
+
+TEST(Platform, ConfigurationBecomesARouteTable) {
+  std::variant<SubtreeVersion, UnreadableConfig> Read = parseConfig(Config);
+  const SubtreeVersion *Version = std::get_if<SubtreeVersion>(&Read);
+  CHECK(Version != nullptr);
+  CHECK(Version->Version_ == 0x1f);
+  Checked<RouteTable> Table = parseRouteTable("routes", Version->Text_);
+  CHECK(Table.has_value());
+  const Route &First = Table.value().Routes_[0];
+  CHECK(First.Host_ == "shop.example");
+  CHECK(First.Services_ == (std::vector<ServiceShare>{{"s1", 90}, {"s2", 10}}));
+  CHECK(First.Importance_ == 7); // rank 2 from the top
+  const Route &Second = Table.value().Routes_[1];
+  CHECK_FALSE(Second.Idempotent_);
+  CHECK(Second.Importance_ == 9);
+  CHECK(Second.Attempts_ == 1);
+  CHECK(Table.value().Limits_.BodyBytes_ == 1000);
+}
+
+TEST(Platform, UnreadableConfigurationSaysWhy) {
+  for (const char *Old : {"\"0000001f\"", "\"safe\"", "[\"r2\",", "800"}) {
+    std::variant<SubtreeVersion, UnreadableConfig> Read =
+        parseConfig(replaced(Config, Old, "\"zz\""));
+    const UnreadableConfig *Bad = std::get_if<UnreadableConfig>(&Read);
+    CHECK(Bad != nullptr);
+    CHECK_FALSE(Bad->Detail_.empty());
+  }
+  CHECK(std::holds_alternative<UnreadableConfig>(
+      parseConfig(Config.substr(0, 100))));
+}
+
+TEST(Platform, HeartbeatsAreDecoded) {
+  BackendNotice Notice = Dialect_.decodeNotice(heartbeat(Heartbeat));
+  const BackendAnnounced *Told = std::get_if<BackendAnnounced>(&Notice);
+  CHECK(Told != nullptr);
+  CHECK(Told->Announcement_.Instance_ == "i-7");
+  CHECK(Told->Announcement_.Slots_ == 36);
+  CHECK(Told->Announcement_.State_ == BackendState::Serving);
+  CHECK(Told->ColdFor_ == millis(1500));
+  CHECK(*Told->Order_ == (AnnouncementOrder{1700000000000, 4}));
+}
+
+TEST(Platform, MalformedHeartbeatsNameNobody) {
+  CHECK(isMalformed(""));
+  CHECK(isMalformed("[]"));
+  CHECK(isMalformed(replaced(Heartbeat, "36", "\"36\"")));
+  CHECK(isMalformed(replaced(Heartbeat, "36", "-1")));
+  CHECK(isMalformed(replaced(Heartbeat, "36", "0")));
+  CHECK(isMalformed(replaced(Heartbeat, "\"ready\"", "\"resting\"")));
+  CHECK(isMalformed(replaced(Heartbeat, "\"sequence\":4,", "")));
+  CHECK(isMalformed(replaced(Heartbeat, "10.0.0.9:80", "host:80")));
+  CHECK(isMalformed(replaced(Heartbeat, "10.0.0.9:80", "10.0.0.8:80")));
+  CHECK(isMalformed(replaced(Heartbeat, "1700000000000", "1.5")));
+}
+
+TEST(Platform, DepartureNamesTheInstance) {
+  BackendNotice Notice =
+      Dialect_.decodeNotice({"DELETE", "/fulmarshelf/instances/i-9", {}, {}});
+  CHECK(std::get<BackendDeparted>(Notice).Instance_ == "i-9");
+}
+
+TEST(Platform, CallerServiceIsAlwaysTheOwn) {
+  IncomingRequest Decoded =
+      Dialect_.decodeRequest({"GET",
+                              "/a/1",
+                              {{"Host", "Shop.Example:80"},
+                               {"X-Fulmarshelf-Caller-Service", "forged"},
+                               {"X-Fulmarshelf-Deadline-Ms", "250"},
+                               {"X-Fulmarshelf-Request-Id", "id1"}},
+                              {}});
+  CHECK(Decoded.Facts_.Host_ == "shop.example");
+  CHECK(Decoded.Facts_.CallerKind_ == "s1");
+  CHECK(Decoded.Facts_.TimeLeft_ == millis(250));
+  DispatchWork Work;
+  Work.Request_ = Decoded.Http_;
+  Work.Facts_ = {"", Micros(199'999), "i-7", "s1", "id1"};
+  HttpRequest Sent = Dialect_.encodeDispatch(Work);
+  CHECK(*fieldOf(Sent.Headers_, "X-Fulmarshelf-Caller-Service") == "s1");
+  CHECK(*fieldOf(Sent.Headers_, "X-Fulmarshelf-Deadline-Ms") == "199");
+  CHECK(*fieldOf(Sent.Headers_, "X-Fulmarshelf-Expect-Instance") == "i-7");
+  CHECK(*fieldOf(Sent.Headers_, "X-Fulmarshelf-Request-Id") == "id1");
+  CHECK(*fieldOf(Sent.Headers_, "Host") == "Shop.Example:80");
+}
+
+TEST(Platform, OnlyProofMakesAPromise) {
+  AnswerCaller Wanted;
+  for (ErrorCode Error :
+       {ErrorCode::Shed, ErrorCode::BackendFailed, ErrorCode::LinkFailed,
+        ErrorCode::DeadlineExceeded, ErrorCode::BackendReplaced}) {
+    Wanted.Reply_ = notRun(Error, millis(250));
+    HttpResponse Response = Dialect_.encodeAnswer(Wanted);
+    CHECK(Response.Status_ == 503);
+    CHECK(*fieldOf(Response.Headers_, "Retry-After") == "0.250");
+    Wanted.Reply_ = unknownOutcome(Error);
+    Response = Dialect_.encodeAnswer(Wanted);
+    CHECK(Response.Status_ == 502 || Response.Status_ == 504);
+    CHECK(fieldOf(Response.Headers_, "Retry-After") == nullptr);
+  }
+}
+
+TEST(Platform, AnswersOfOthersAreTold) {
+  HttpRequest Asked{"GET", "/", {{"X-Fulmarshelf-Request-Id", "id1"}}, {}};
+  HttpResponse Own{200, {{"X-Fulmarshelf-Request-Id", "id1"}}, {}};
+  HttpResponse Other{200, {{"X-Fulmarshelf-Request-Id", "id2"}}, {}};
+  CHECK(Dialect_.isAnswerTo(Asked, Own));
+  CHECK_FALSE(Dialect_.isAnswerTo(Asked, Other));
+  CHECK_FALSE(Dialect_.isAnswerTo(Asked, {200, {}, "whose?"}));
+  CHECK(Dialect_.isAnswerTo(Asked, {503, {}, {}}));
+}
+
+TEST(Platform, AnswersTellWhetherTheyRan) {
+  CHECK_FALSE(Dialect_.decodeAnswer({503, {}, {}}).NotExecuted_);
+  AnswerFacts Full =
+      Dialect_.decodeAnswer({503,
+                             {{"X-Fulmarshelf-Not-Executed", "1"},
+                              {"X-Fulmarshelf-Server-Load", "15,3,15,250"}},
+                             {}});
+  CHECK(Full.NotExecuted_);
+  CHECK(*Full.Load_ == (BackendLoad{15, 3, 15, 250}));
+  AnswerFacts Other = Dialect_.decodeAnswer({421, {}, {}});
+  CHECK(Other.NotExecuted_ && Other.OtherInstance_);
+  CHECK_FALSE(
+      Dialect_.decodeAnswer({200, {{"X-Fulmarshelf-Server-Load", "1,x,3"}}, {}})
+          .Load_.has_value());
+}
+
+TEST(Platform, StoreCallsSurvive) {
+  StorePage Page{9, {{"main", 4, false, "{\"a\":1}"}}, true};
+  StorePage Read;
+  CHECK(parseList(encodeList(Page), Read));
+  CHECK(Read == Page);
+  Page.More_ = false;
+  Page.Objects_.push_back({"gone", 5, true, "null"});
+  CHECK(parseChanges(encodeChanges(Page), Read));
+  CHECK(Read.Objects_[1].Deleted_);
+  std::optional<StoreRequest> Call =
+      parseStoreRequest(watchRequest("config", 77, 500));
+  CHECK(Call->Kind_ == "config" && Call->Since_ == 77 && Call->WaitMs_ == 500);
+  Call = parseStoreRequest(replaceRequest("k", "n", "{\"a\":1}", 6));
+  CHECK(Call->Name_ == "n" && Call->Revision_ == 6);
+  CHECK(Call->Object_.Spec_ == "{\"a\":1}");
+  CHECK_FALSE(parseStoreRequest({"GET", "/other", {}, {}}).has_value());
+}
+
+TEST(Platform, DamagedInputNeverCrashesADecoder) {
+  for (int Round = 0; Round < 5000; ++Round) {
+    std::string Bytes = Round % 2 == 0 ? Config : Heartbeat;
+    for (int Flip = 0; Flip < 3; ++Flip)
+      Bytes[Random_() % Bytes.size()] = static_cast<char>(Random_());
+    parseConfig(Bytes);
+    Dialect_.decodeNotice(heartbeat(Bytes));
+  }
+}
--- /dev/null
+++ b/tests/unit/route_table_test.cpp
@@ -0,0 +1,118 @@
+#include "fulmarshelf/detail/routing/split_counter.hpp" // SplitCounter
+#include "fulmarshelf/detail/settings/registry.hpp"     // SettingsRegistry
+
+#include <map> // map
+
+#include <CppUTest/TestHarness.h> // TEST
+
+using namespace fulmarshelf;
+
+namespace {
+
+RouteTable tableOf() {
+  RouteTable Table;
+  Table.Services_ = {{"shop", "/health", 10}, {"deep", "/up", 5}};
+  Table.Routes_ = {
+      {"a.example", "/", {{"shop", 1}}, true, millis(800), millis(500), 7, 2},
+      {"a.example",
+       "/x/",
+       {{"deep", 3}, {"shop", 1}},
+       false,
+       millis(900),
+       millis(400),
+       9,
+       1},
+      {"b.example",
+       "/x/",
+       {{"shop", 1}},
+       true,
+       millis(700),
+       millis(300),
+       1,
+       3}};
+  Table.Limits_ = {4096, 100'000, millis(3000), millis(15'000)};
+  return Table;
+}
+
+SubtreeVersion versionOf(std::uint64_t Number, const RouteTable &Table) {
+  return {std::string(RouteTablePath), Number, false, formatRouteTable(Table)};
+}
+
+} // namespace
+
+TEST_GROUP(RouteTables){};
+
+TEST(RouteTables, TextSurvives) {
+  Checked<RouteTable> Read =
+      parseRouteTable("routes", formatRouteTable(tableOf()));
+  CHECK(Read.has_value());
+  CHECK(Read.value() == tableOf());
+}
+
+TEST(RouteTables, LongestPrefixOfTheHostMatches) {
+  RouteTable Table = tableOf();
+  CHECK(findRoute(Table, "a.example", "/x/1") == &Table.Routes_[1]);
+  CHECK(findRoute(Table, "a.example", "/xy/1") == &Table.Routes_[0]);
+  CHECK(findRoute(Table, "b.example", "/x/") == &Table.Routes_[2]);
+  CHECK(findRoute(Table, "b.example", "/y/") == nullptr);
+  CHECK(findRoute(Table, "c.example", "/x/") == nullptr);
+}
+
+TEST(RouteTables, FaultsAreCollectedWithTheirLines) {
+  Checked<RouteTable> Read = parseRouteTable(
+      "routes", "[service a]\n[route 1]\nhost = h\nprefix = x\nservices = b:0\n"
+                "timeout-ms = none\ncolour = red\n");
+  CHECK_FALSE(Read.has_value());
+  CHECK(Read.error().size() >= 4);
+  for (const Finding &Fault : Read.error())
+    CHECK(Fault.File_ == "routes");
+}
+
+TEST(RouteTables, VersionsNeverGoBack) {
+  SettingsRegistry Registry;
+  RouteTable Newer = tableOf();
+  Newer.Routes_.pop_back();
+  CHECK(Registry.apply(versionOf(9, Newer)) == ApplyResult::Applied);
+  CHECK(Registry.apply(versionOf(8, tableOf())) == ApplyResult::NotNewer);
+  CHECK(*Registry.routes() == Newer);
+}
+
+TEST(RouteTables, FaultyVersionLeavesTheOneBeforeInForce) {
+  SettingsRegistry Registry;
+  Registry.apply(versionOf(1, tableOf()));
+  CHECK(Registry.apply({std::string(RouteTablePath), 2, false,
+                        "[route 1]\nhost = h\n"}) == ApplyResult::Faulty);
+  CHECK(*Registry.routes() == tableOf());
+  CHECK(Registry.versionOf(std::string(RouteTablePath)) == 1);
+}
+
+TEST(RouteTables, TeamsShortenWhatARouteAllowsAndNeverStretchIt) {
+  SettingsRegistry Registry;
+  Registry.apply(versionOf(1, tableOf()));
+  Registry.apply({"/team", 1, false,
+                  "[team]\nservices = shop, deep\n[defaults]\nimportance = 3\n"
+                  "patience-ms = 5000\nretries = 9\nidempotent = yes\n"
+                  "[service shop]\npatience-ms = 100\n"});
+  const std::vector<Route> &Routes = Registry.routes()->Routes_;
+  EffectiveRules Deep =
+      Registry.effective(Routes[1], "deep", "POST", "/x/", "guest");
+  CHECK(Deep.Patience_ == millis(900));
+  CHECK(Deep.Retries_ == 0);
+  CHECK_FALSE(Deep.Idempotent_);
+  CHECK(Deep.Importance_ == 3);
+  EffectiveRules Shop =
+      Registry.effective(Routes[0], "shop", "GET", "/", "guest");
+  CHECK(Shop.Patience_ == millis(100));
+  CHECK(Shop.Retries_ == 1);
+}
+
+TEST(RouteTables, SplitsAreExactAtAnyMoment) {
+  SplitCounter Counter;
+  std::map<std::string, int> Taken;
+  for (int Number = 1; Number <= 1000; ++Number) {
+    ++Taken[Counter.next({{"a", 7}, {"b", 2}, {"c", 1}, {"d", 0}})];
+    CHECK(std::abs(Taken["a"] - Number * 0.7) <= 1);
+    CHECK(std::abs(Taken["b"] - Number * 0.2) <= 1);
+  }
+  CHECK(Taken["d"] == 0);
+}
--- a/tools/backend_standin.cpp
+++ b/tools/backend_standin.cpp
@@ -56,7 +56,7 @@
       : Context_(Context), Place_(Place), Node_(Node), Random_(Seed),
         Service_(Service), Timer_(Context),
         Http_(Context, Place, 0, MaxConnections, HttpLimits(),
-              {[this](CallerKey Caller, HttpRequest Request, ConnectionId) {
+              {[this](CallerKey Caller, HttpRequest Request) {
                  receive(Caller, std::move(Request));
                },
                [this](CallerKey Caller) { cancel(Caller); }}),
--- a/tools/platform_standin.cpp
+++ b/tools/platform_standin.cpp
@@ -53,8 +53,9 @@
   Platform(boost::asio::io_context &Context, const Endpoint &Place)
       : Context_(Context),
         Service_(Context, Place, 0, MaxConnections, limits(),
-                 {[this](CallerKey Caller, const HttpRequest &Request,
-                         ConnectionId) { receive(Caller, Request); },
+                 {[this](CallerKey Caller, const HttpRequest &Request) {
+                    receive(Caller, Request);
+                  },
                   [this](CallerKey Caller) { forget(Caller); }}) {}
 
 private:
--- a/tools/relay.cpp
+++ b/tools/relay.cpp
@@ -244,8 +244,7 @@
   HttpService *Answers = nullptr;
   HttpService Service(
       Context, AdminPlace, 0, 16, HttpLimits(),
-      {[&Answers, &Common](CallerKey Caller, const HttpRequest &Request,
-                           ConnectionId) {
+      {[&Answers, &Common](CallerKey Caller, const HttpRequest &Request) {
          Answers->respond(Caller, administer(Request, Common));
        },
        [](CallerKey) {}});
