--- a/include/fulmarshelf/detail/engine/node_state.hpp
+++ b/include/fulmarshelf/detail/engine/node_state.hpp
@@ -165,6 +165,10 @@
 void setTimer(NodeState &Node, Micros Delay, TimerKind Kind,
               std::uint64_t Target = 0);
 
+/// @brief Takes a timer back that was set for this moment; O(log timers).
+void clearTimer(NodeState &Node, TimePoint When, TimerKind Kind,
+                std::uint64_t Target);
+
 /// @brief True when the node runs all overload decisions.
 bool hasFullPolicy(const NodeState &Node);
 
--- a/include/fulmarshelf/detail/engine/tables.hpp
+++ b/include/fulmarshelf/detail/engine/tables.hpp
@@ -100,6 +100,7 @@
   TimePoint Arrived_;
   TimePoint Dispatched_;
   TimePoint Deadline_;
+  TimePoint StopsAt_;   ///< when it is stopped while it runs
   TimePoint HandedEnd_; ///< end of the time that the backend server was given
   unsigned OpenCalls_ = 0; ///< matched to it and not answered yet
   TimePoint LastCallEnd_;  ///< answer of a matched call, or its own start
--- a/src/engine/answer_system.cpp
+++ b/src/engine/answer_system.cpp
@@ -118,6 +118,7 @@
     noteCallEnd(Node, Target);
   if (!Target.JoinKey_.empty())
     Node.Joinable_.erase(Target.JoinKey_);
+  clearTimer(Node, Target.Deadline_, TimerKind::RequestDeadline, Id.Value_);
   Node.Requests_.erase(Id);
 }
 
--- a/src/engine/node_state.cpp
+++ b/src/engine/node_state.cpp
@@ -60,6 +60,11 @@
   Node.Timers_.insert({Node.Now_ + Delay, Kind, Target});
 }
 
+void clearTimer(NodeState &Node, TimePoint When, TimerKind Kind,
+                std::uint64_t Target) {
+  Node.Timers_.erase({When, Kind, Target});
+}
+
 bool hasFullPolicy(const NodeState &Node) {
   return Node.Config_.Settings_.Policy_ == PolicyMode::Full;
 }
--- a/src/engine/owner_system.cpp
+++ b/src/engine/owner_system.cpp
@@ -95,6 +95,7 @@
 void freeSlot(NodeState &Node, const Work &Target) {
   --Node.Running_;
   forgetRunning(Node, Target);
+  clearTimer(Node, Target.StopsAt_, TimerKind::WorkDeadline, Target.Id_.Value_);
   if (Target.Long_)
     --Node.LongRunning_;
 }
--- a/src/engine/work_slots.cpp
+++ b/src/engine/work_slots.cpp
@@ -53,6 +53,7 @@
   // to wait for beyond it.
   if (!isIdempotent(Target))
     Patience += hasRouteTable(Node) ? LateAnswerGrace : StartedWorkGrace;
+  Target.StopsAt_ = Node.Now_ + Patience;
   setTimer(Node, Patience, TimerKind::WorkDeadline, Item.Work_.Value_);
   act(Node, DispatchWork{Item.Work_, Node.Backend_.Announcement_.Address_,
                          Target.Http_, factsFor(Node, Target),
--- a/src/shell/event_writer.cpp
+++ b/src/shell/event_writer.cpp
@@ -27,8 +27,8 @@
 constexpr unsigned FirstChangeEvent = 1307;
 constexpr unsigned FirstLifeEvent = 1700;
 // Lines a second. With lines of about 200 bytes both together stay below
-// 150 KB/s, which a slow terminal or collector still takes.
-constexpr unsigned OrdinaryLines = 400;
+// 100 KB/s, which a slow terminal or collector still takes.
+constexpr unsigned OrdinaryLines = 200;
 constexpr unsigned ImportantLines = 300;
 // A reader that stops for some seconds at the full rate misses nothing.
 constexpr std::size_t MaxBufferedBytes = std::size_t{512} * 1024;
