--- a/include/fulmarshelf/detail/shell/connection_table.hpp
+++ b/include/fulmarshelf/detail/shell/connection_table.hpp
@@ -56,8 +56,9 @@
 
   /// @brief Closes without a handler call; what is queued is lost.
   void close(ConnectionId Target);
-
-  /// @brief Closes after the queued bytes are written.
+  /// @brief Ends after the queued bytes are written, and takes in what the peer
+  /// still sends for a while, since closing on unread bytes would reset the
+  /// connection and with it what was written.
   void closeWhenWritten(ConnectionId Target);
 
   /// @brief Bytes that wait to be written.
@@ -82,6 +83,7 @@
     bool Open_ = false; ///< connected; bytes wait until then
     bool Closing_ = false;
     bool CloseWhenWritten_ = false;
+    bool Lingering_ = false; ///< all is written; what comes in is passed over
   };
 
   ConnectionId insert(boost::asio::ip::tcp::socket Socket);
@@ -90,6 +92,7 @@
   void startRead(ConnectionId Target);
   void startWrite(ConnectionId Target);
   void fail(ConnectionId Target, ConnectionEnd How);
+  void linger(ConnectionId Target);
 
   boost::asio::io_context &Context_;
   Handlers Calls_;
--- a/src/shell/connection_table.cpp
+++ b/src/shell/connection_table.cpp
@@ -23,6 +23,8 @@
 constexpr int KeepAliveIntervalSeconds = 1;
 constexpr int KeepAliveProbes = 2;
 constexpr unsigned UnacknowledgedMs = 2'000;
+// A peer that has its answer closes within a few round trips.
+constexpr std::chrono::milliseconds LingerTime{1000};
 
 template <int Level, int Name, typename Value>
 void setOption(tcp::socket &Socket, Value Wanted) {
@@ -129,7 +131,8 @@
         // The handler may close the connection, which keeps the entry only as
         // long as an operation is pending.
         ++Ready.Operations_;
-        Calls_.OnBytes_(Target, {Ready.Input_.data(), Count});
+        if (!Ready.Lingering_)
+          Calls_.OnBytes_(Target, {Ready.Input_.data(), Count});
         if (endOperation(Target))
           startRead(Target);
       });
@@ -164,7 +167,7 @@
                         return;
                       }
                       if (Done.Pending_.empty() && Done.CloseWhenWritten_) {
-                        close(Target);
+                        linger(Target);
                         return;
                       }
                       startWrite(Target);
@@ -188,11 +191,26 @@
   if (Entry == nullptr)
     return;
   if (Entry->Writing_.empty() && Entry->Pending_.empty())
-    close(Target);
+    linger(Target);
   else
     Entry->CloseWhenWritten_ = true;
 }
 
+void ConnectionTable::linger(ConnectionId Target) {
+  Connection *Entry = find(Target);
+  if (Entry == nullptr || Entry->Lingering_)
+    return;
+  Entry->Lingering_ = true;
+  error_code Ignored;
+  Entry->Socket_.shutdown(tcp::socket::shutdown_send, Ignored);
+  ++Entry->Operations_;
+  Entry->Timer_.expires_after(LingerTime);
+  Entry->Timer_.async_wait([this, Target](error_code Error) {
+    if (endOperation(Target) && !Error)
+      close(Target);
+  });
+}
+
 std::size_t ConnectionTable::backlog(ConnectionId Target) const {
   auto Found = Connections_.find(Target);
   if (Found == Connections_.end())
@@ -203,8 +221,10 @@
 void ConnectionTable::fail(ConnectionId Target, ConnectionEnd How) {
   if (find(Target) == nullptr)
     return;
+  bool Lingering = Connections_.at(Target).Lingering_;
   close(Target);
-  Calls_.OnClosed_(Target, How);
+  if (!Lingering)
+    Calls_.OnClosed_(Target, How);
 }
 
 } // namespace fulmarshelf
