--- a/include/fulmarshelf/detail/shell/metrics.hpp
+++ b/include/fulmarshelf/detail/shell/metrics.hpp
@@ -35,8 +35,10 @@
   /// @brief Writes all metrics.
   std::string text(const NodeState &Node, const ShellCounts &Counts) const;
 
-private:
+public:
   struct Times;
+
+private:
   std::unique_ptr<Times> Times_;
   std::map<EventNumber, std::uint64_t> Events_;
 };
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,3 +1,4 @@
+#include "explain.hpp"                              // linesAbout
 #include "fulmarshelf/detail/shell/http_caller.hpp" // fetch
 #include "platform_client.hpp"                      // PlatformClient
 
@@ -6,6 +7,7 @@
 #include <tclap/CmdLine.h>   // CmdLine
 
 #include <cstdlib>    // getenv
+#include <fstream>    // ifstream
 #include <functional> // function
 #include <iostream>   // cout, cerr
 #include <map>        // map
@@ -47,6 +49,7 @@
   std::string Usage_;
   std::size_t Words_ = 0; ///< arguments that it needs
   Command Run_;
+  bool MayHaveMore_ = false; ///< takes further arguments
 };
 
 int fail(ExitCode Code, const std::string &Text) {
@@ -308,7 +311,14 @@
               << " calls run (slots " << Status["backend"]["slots"] << "), "
               << Status["queued"] << " wait"
               << (Status["backend"]["draining"].get<bool>() ? ", draining" : "")
+              << (Status["backend"].contains("instance")
+                      ? ", instance " +
+                            Status["backend"]["instance"].get<std::string>()
+                      : std::string())
               << '\n';
+  if (Status.contains("unreadable"))
+    std::cout << "newest routes cannot be read: "
+              << Status["unreadable"].get<std::string>() << '\n';
   std::cout << "settings in force:\n";
   for (const Json &Item : Status["settings"])
     std::cout << "  " << Item["path"].get<std::string>() << " version "
@@ -340,6 +350,42 @@
   return ExitDone;
 }
 
+int runRoutes(const Arguments &Given) {
+  Endpoint Node;
+  if (!readPlace(Given.Node_, "FULMARSHELF_NODE", Node))
+    return fail(ExitUsage, "needs --node or FULMARSHELF_NODE");
+  std::optional<std::string> Page = readPage(Node, "/routes");
+  if (!Page)
+    return fail(ExitMissing,
+                toString(Node) + " has no route table, or does not answer");
+  std::cout << *Page;
+  return ExitDone;
+}
+
+int runExplain(const Arguments &Given) {
+  std::vector<LogLine> Lines;
+  for (std::size_t Index = 1; Index < Given.Words_.size(); ++Index) {
+    std::ifstream File(Given.Words_[Index]);
+    if (!File)
+      return fail(ExitMissing, Given.Words_[Index] + " cannot be read");
+    std::string Text;
+    LogLine Line;
+    while (std::getline(File, Text))
+      if (parseLogLine(Text, Line))
+        Lines.push_back(Line);
+  }
+  std::vector<LogLine> Story = linesAbout(Given.Words_[0], Lines);
+  for (const LogLine &Line : Story)
+    std::cout << Line.Text_ << '\n';
+  for (const std::string &Finding : clockFindings(Story))
+    std::cout << Finding << '\n';
+  if (Story.empty())
+    return fail(ExitMissing, "no line about " + Given.Words_[0] +
+                                 "; lines may have been left out, see "
+                                 "lines-omitted");
+  return ExitDone;
+}
+
 int runTicket(const Arguments &Given) {
   Endpoint Entry;
   if (!readPlace(Given.Entry_, "FULMARSHELF_ENTRY", Entry))
@@ -364,6 +410,8 @@
        {"/SERVICE/PATH [--method M] [--caller KIND] --node EP", 1,
         &runEffective}},
       {"status", {"--node EP [--json]", 0, &runStatus}},
+      {"routes", {"--node EP", 0, &runRoutes}},
+      {"explain", {"REQUEST-ID FILE [FILE ...]", 2, &runExplain, true}},
       {"ticket", {"--entry EP", 0, &runTicket}}};
   return Table;
 }
@@ -436,7 +484,10 @@
     std::vector<std::string> Rest(
         Words.begin() + static_cast<std::ptrdiff_t>(Length), Words.end());
     Arguments Given = parseArguments(Name, Found->second, Rest);
-    if (Given.Words_.size() != Found->second.Words_)
+    bool Good = Found->second.MayHaveMore_
+                    ? Given.Words_.size() >= Found->second.Words_
+                    : Given.Words_.size() == Found->second.Words_;
+    if (!Good)
       return fail(ExitUsage,
                   "usage: fulmarshelf " + Name + " " + Found->second.Usage_);
     return Found->second.Run_(Given);
--- a/src/engine/settings_system.cpp
+++ b/src/engine/settings_system.cpp
@@ -52,6 +52,8 @@
       logSubtree(Node, EventNumber::SettingsRejected, Item, Source);
       continue;
     }
+    if (Item.Path_ == RouteTablePath)
+      Node.Sync_.Unreadable_.clear();
     logSubtree(Node, EventNumber::SettingsApplied, Item, Source);
     News.push_back({Item.Path_, Item.Version_});
   }
--- a/src/engine/status.cpp
+++ b/src/engine/status.cpp
@@ -34,10 +34,25 @@
   const Announcement &Told = Node.Backend_.Announcement_;
   if (!Node.Backend_.Known_)
     return nullptr;
-  return {{"service", Told.Service_},
-          {"address", toString(Told.Address_)},
-          {"slots", Told.Slots_},
-          {"draining", Told.State_ == BackendState::Draining}};
+  Json Result = {{"service", Told.Service_},
+                 {"address", toString(Told.Address_)},
+                 {"slots", Told.Slots_},
+                 {"draining", Told.State_ == BackendState::Draining}};
+  if (!Told.Instance_.empty())
+    Result["instance"] = Told.Instance_;
+  return Result;
+}
+
+// The share of each importance that fits, where it is not all.
+std::string reasonByShares(const AdmittedShares &Shares) {
+  std::string Text;
+  for (std::size_t Level = 0; Level < Shares.size(); ++Level)
+    if (Shares[Level] != FullShare)
+      Text += (Text.empty() ? "" : ", ") +
+              std::to_string(100 * Shares[Level] / FullShare) +
+              " % of importance " + std::to_string(Level);
+  return Text.empty() ? "nothing is shed here"
+                      : "the backend server is full: there is room for " + Text;
 }
 
 // Says in one line why work is shed now, or that none is.
@@ -47,6 +62,8 @@
     return "no settings yet: all requests are refused";
   if (Node.Phase_ == NodePhase::Leaving)
     return "leaving: new requests are refused";
+  if (hasRouteTable(Node))
+    return reasonByShares(Node.Demand_.shares().Admitted_);
   if (Level == 0)
     return "nothing is shed here";
   std::string Kind = Node.ShortLevel_.level() == 0 ? "long work" : "work";
@@ -92,6 +109,8 @@
                      {"ledger", Node.Ledger_.size()},
                      {"timers", Node.Timers_.size()}}},
                    {"members", membersOf(Node)}};
+  if (!Node.Sync_.Unreadable_.empty())
+    Document["unreadable"] = Node.Sync_.Unreadable_;
   return Document.dump(1) + "\n";
 }
 
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -85,6 +85,10 @@
   if (Older || Report == Self_)
     return;
   Digest_ ^= markOf(Self_);
+  // The clock was set back between two lives of this node; the new one must
+  // still outbid the old one.
+  if (Report.Incarnation_ > Self_.Incarnation_)
+    Self_.Incarnation_ = Report.Incarnation_ + 1;
   Self_.Version_ = std::max(Self_.Version_, Report.Version_) + 1;
   Digest_ ^= markOf(Self_);
   SelfBroadcasts_ = broadcastCount();
--- a/src/shell/metrics.cpp
+++ b/src/shell/metrics.cpp
@@ -23,6 +23,11 @@
 constexpr std::array<double, 3> Quantiles = {0.5, 0.9, 0.99};
 constexpr double MicrosPerSecond = 1e6;
 
+// Upper bounds of the histogram in seconds: from the time of a hop to the
+// longest timeout that is common, each about twice the one before.
+constexpr std::array<double, 13> Bounds = {
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6};
+
 TimeSet makeSet() {
   return TimeSet(stats::extended_p_square_probabilities = Quantiles);
 }
@@ -61,14 +66,39 @@
 struct Metrics::Times {
   std::array<TimeSet, Measures.size()> Sets_ = {makeSet(), makeSet(),
                                                 makeSet()};
+  std::array<std::array<std::uint64_t, Bounds.size()>, Measures.size()>
+      Buckets_{}; ///< observations up to each bound
 };
 
+namespace {
+
+void writeHistograms(std::ostringstream &Out, const Metrics::Times &Times) {
+  for (const NamedMeasure &Entry : Measures) {
+    std::size_t Index = indexOf(Entry.Measure_);
+    std::string Name = std::string(Entry.Name_) + "_histogram";
+    Out << "# HELP " << Name << ' ' << Entry.Help_ << "\n# TYPE " << Name
+        << " histogram\n";
+    for (std::size_t Bound = 0; Bound < Bounds.size(); ++Bound)
+      Out << Name << "_bucket{le=\"" << Bounds[Bound] << "\"} "
+          << Times.Buckets_[Index][Bound] << '\n';
+    const TimeSet &Set = Times.Sets_[Index];
+    Out << Name << "_bucket{le=\"+Inf\"} " << stats::count(Set) << '\n'
+        << Name << "_sum " << stats::sum(Set) << '\n'
+        << Name << "_count " << stats::count(Set) << '\n';
+  }
+}
+
+} // namespace
+
 Metrics::Metrics() : Times_(std::make_unique<Times>()) {}
 Metrics::~Metrics() = default;
 
 void Metrics::observe(const Observe &Value) {
-  Times_->Sets_[indexOf(Value.Measure_)](
-      static_cast<double>(Value.Value_.count()) / MicrosPerSecond);
+  double Seconds = static_cast<double>(Value.Value_.count()) / MicrosPerSecond;
+  std::size_t Index = indexOf(Value.Measure_);
+  Times_->Sets_[Index](Seconds);
+  for (std::size_t Bound = 0; Bound < Bounds.size(); ++Bound)
+    Times_->Buckets_[Index][Bound] += Seconds <= Bounds[Bound] ? 1 : 0;
 }
 
 void Metrics::count(EventNumber Event) { ++Events_[Event]; }
@@ -89,6 +119,7 @@
     Out << Entry.Name_ << "_sum " << stats::sum(Set) << '\n'
         << Entry.Name_ << "_count " << stats::count(Set) << '\n';
   }
+  writeHistograms(Out, *Times_);
   Out << "# HELP fulmarshelf_events_total Log events by number\n"
          "# TYPE fulmarshelf_events_total counter\n";
   for (const std::pair<const EventNumber, std::uint64_t> &Entry : Events_)
@@ -108,6 +139,18 @@
       {"fulmarshelf_long_level", "gauge",
        "Lowest rank of long work that is admitted now",
        static_cast<double>(Node.LongLevel_.level())},
+      {"fulmarshelf_demand_slots", "gauge",
+       "Slots that all demand would fill if nothing were shed",
+       Node.Demand_.demand()},
+      {"fulmarshelf_calls_traced_total", "counter",
+       "Calls that one running work only could have made",
+       static_cast<double>(Node.ParentMatches_.Unique_)},
+      {"fulmarshelf_calls_ambiguous_total", "counter",
+       "Calls that several running works could have made",
+       static_cast<double>(Node.ParentMatches_.Ambiguous_)},
+      {"fulmarshelf_calls_untraced_total", "counter",
+       "Calls that no running work could have made",
+       static_cast<double>(Node.ParentMatches_.None_)},
       {"fulmarshelf_members", "gauge", "Other nodes in use",
        static_cast<double>(Node.Membership_.usable().size())},
       {"fulmarshelf_datagrams_sent_total", "counter", "Gossip datagrams sent",
--- a/src/shell/node_shell.cpp
+++ b/src/shell/node_shell.cpp
@@ -48,6 +48,15 @@
   return {200, {{"Content-Type", "application/json"}}, std::move(Body)};
 }
 
+HttpResponse routesPage(const NodeState &Node) {
+  const SubtreeVersion *Table =
+      Node.Settings_.find(std::string(RouteTablePath));
+  if (Table == nullptr)
+    return textPage(404, "no route table is in force\n");
+  return textPage(200, "; version " + std::to_string(Table->Version_) + "\n" +
+                           Table->Text_);
+}
+
 HttpResponse effectivePage(const NodeState &Node, const std::string &Target) {
   std::string Path = queryValue(Target, "path");
   std::string Method = queryValue(Target, "method");
@@ -420,11 +429,13 @@
     return readinessPage();
   if (Path == "/status")
     return jsonPage(statusJson(Node));
+  if (Path == "/routes")
+    return routesPage(Node);
   if (Path == "/effective")
     return effectivePage(Node, Request.Target_);
   if (Path != "/metrics")
-    return textPage(404, "pages: /status /effective /metrics " + ReadinessPath +
-                             "\n");
+    return textPage(404, "pages: /status /routes /effective /metrics " +
+                             ReadinessPath + "\n");
   Counts_.PeerControlBytes_ = Peers_.controlBytes();
   Counts_.CallerConnections_ = Callers_.connections();
   Counts_.PlatformCalls_ = Store_.calls();
--- /dev/null
+++ b/tests/unit/explain_test.cpp
@@ -0,0 +1,61 @@
+#include "../../src/cli/explain.hpp" // linesAbout
+
+#include <CppUTest/TestHarness.h> // TEST
+
+using namespace fulmarshelf::cli;
+
+namespace {
+
+std::vector<LogLine> parsed(const std::vector<std::string> &Texts) {
+  std::vector<LogLine> Result;
+  for (const std::string &Text : Texts) {
+    LogLine Line;
+    if (parseLogLine(Text, Line))
+      Result.push_back(Line);
+  }
+  return Result;
+}
+
+const std::vector<std::string> Logs = {
+    "2026-01-01T00:00:00.000100Z node=a event=1001 request-received request=1 "
+    "id=r1 route=h/x/",
+    "2026-01-01T00:00:00.000200Z node=a event=1101 owner-chosen request=1 "
+    "id=r1 owner=b",
+    "2026-01-01T00:00:00.000300Z node=b event=1301 work-queued work=7 id=r1",
+    "2026-01-01T00:00:00.000900Z node=b event=1304 work-evicted work=7 "
+    "error=shed",
+    "2026-01-01T00:00:00.000500Z node=b event=1006 call-matched request=4 "
+    "id=c1 parent=r1",
+    "2026-01-01T00:00:00.000600Z node=b event=1003 request-refused request=4 "
+    "detail=\"two words\"",
+    "2026-01-01T00:00:00.000700Z node=c event=1301 work-queued work=7 id=r2",
+    "nothing of ours"};
+
+} // namespace
+
+TEST_GROUP(Explain){};
+
+TEST(Explain, LinesAreReadWithQuotedValues) {
+  std::vector<LogLine> Lines = parsed(Logs);
+  CHECK(Lines.size() == 7);
+  CHECK(Lines[5].Node_ == "b");
+  CHECK(Lines[5].Event_ == "request-refused");
+  CHECK(Lines[5].Fields_.at("detail") == "two words");
+}
+
+TEST(Explain, ARequestIsFollowedThroughNodesAndCalls) {
+  std::vector<LogLine> Story = linesAbout("r1", parsed(Logs));
+  CHECK_EQUAL(6U, Story.size());
+  CHECK(Story.front().Event_ == "request-received");
+  CHECK(Story.back().Event_ == "work-evicted");
+  for (const LogLine &Line : Story)
+    CHECK(Line.Node_ != "c");
+}
+
+TEST(Explain, ClocksThatCannotAgreeAreTold) {
+  std::vector<std::string> Skewed = Logs;
+  Skewed[2] = "2026-01-01T00:00:00.000050Z node=b event=1301 work-queued "
+              "work=7 id=r1";
+  CHECK(clockFindings(parsed(Logs)).empty());
+  CHECK_EQUAL(1U, clockFindings(parsed(Skewed)).size());
+}
--- a/tests/unit/membership_test.cpp
+++ b/tests/unit/membership_test.cpp
@@ -179,3 +179,16 @@
     decode(Bytes, Reply);
   }
 }
+
+// The clock was set back between two lives of a node, and the others still know
+// the earlier one as leaving.
+TEST(Membership, LifeWithAnOlderClockOutbidsTheOneBefore) {
+  std::mt19937_64 Random(1);
+  Membership Restarted(member(0), Random);
+  Member Before = member(0);
+  Before.Incarnation_ = 900;
+  Before.Status_ = MemberStatus::Leaving;
+  Restarted.learn(TimePoint(millis(1)), {Before});
+  CHECK(supersedes(Restarted.self(), Before));
+  CHECK(Restarted.self().Status_ == MemberStatus::Alive);
+}
