Large route tables stay in their failure domain

Change: a watcher waits for its own watch, another node for a near one, and the far node is asked after 0.5 s; news is told to three near nodes besides.

--- a/include/fulmarshelf/detail/engine/node_state.hpp
+++ b/include/fulmarshelf/detail/engine/node_state.hpp
@@ -77,6 +77,9 @@
   std::string Unreadable_;            ///< why the newest routes cannot be read
   std::vector<SettingsVersion> News_; ///< told to some members again
   unsigned NewsRounds_ = 0;
+  std::string Awaited_; ///< far member that told of settings not had yet
+  std::uint64_t AwaitedDigest_ = 0; ///< of its settings
+  TimePoint AskAt_;                 ///< when it is asked after all
 };
 
 /// @brief How calls were matched to the work that made them, for metrics.
--- a/include/fulmarshelf/detail/membership/membership.hpp
+++ b/include/fulmarshelf/detail/membership/membership.hpp
@@ -103,6 +103,7 @@
   void attachReports(GossipMessage &Message);
   unsigned broadcastCount() const;
   std::string nextTarget();
+  std::vector<Member> nearSample(std::size_t Count);
 
   Member Self_;
   std::mt19937_64 &Random_;
--- a/src/engine/settings_system.cpp
+++ b/src/engine/settings_system.cpp
@@ -7,6 +7,10 @@
 namespace {
 
 constexpr Micros TickInterval = millis(500);
+// With a route table a change has two seconds to be in force everywhere; news
+// that no near node has within a quarter of them is fetched from afar.
+constexpr Micros ShortTickInterval = millis(250);
+constexpr Micros NewsPatience = millis(500);
 constexpr Micros LeastBackoff = millis(500);
 constexpr Micros MostBackoff = millis(8000);
 // After a stop of the whole mesh every node must be back within two seconds of
@@ -74,6 +78,18 @@
   Node.Membership_.spread(Node.Sync_.News_);
 }
 
+// Asks the far node that told of news when no near one had it in time.
+void askAwaited(NodeState &Node) {
+  SettingsSync &Sync = Node.Sync_;
+  if (Sync.Awaited_.empty() || Node.Now_ < Sync.AskAt_)
+    return;
+  const Member *From = Node.Membership_.find(Sync.Awaited_);
+  bool Behind = Sync.AwaitedDigest_ != Node.Settings_.digest();
+  Sync.Awaited_.clear();
+  if (From != nullptr && Behind)
+    link_system::sync(Node, *From);
+}
+
 void beginServing(NodeState &Node, const std::string &Source) {
   bool Ready = !hasRouteTable(Node) || Node.Settings_.routes() != nullptr;
   if (Node.Phase_ != NodePhase::Starting || !Ready)
@@ -245,7 +261,9 @@
   callStore(Node);
   askNextPeer(Node);
   repeatNews(Node);
-  setTimer(Node, TickInterval, TimerKind::SettingsSync);
+  askAwaited(Node);
+  setTimer(Node, hasRouteTable(Node) ? ShortTickInterval : TickInterval,
+           TimerKind::SettingsSync);
 }
 
 void onListed(NodeState &Node, const StoreListed &Input) {
@@ -354,6 +372,29 @@
     beginServing(Node, "peer");
 }
 
+namespace {
+
+bool isNear(const NodeState &Node, const Member &Other) {
+  return Other.FailureDomain_ == Node.Config_.Settings_.FailureDomain_;
+}
+
+// A watcher has the news from the store at the same time, and the others can
+// have it from a node of their own domain, so that a large table crosses
+// domains only when neither works.
+bool canWaitForNews(NodeState &Node) {
+  if (!hasRouteTable(Node) || Node.Phase_ != NodePhase::Serving)
+    return false;
+  CollectionSync &Routes = Node.Sync_.Collections_[Collection::Routes];
+  if (isWatcher(Node))
+    return Routes.WatchOpen_;
+  for (const Member &Other : Node.Membership_.usable())
+    if (isNear(Node, Other))
+      return true;
+  return false;
+}
+
+} // namespace
+
 void onNews(NodeState &Node, const GossipMessage &Message) {
   bool Newer = false;
   for (const SettingsVersion &Item : Message.News_)
@@ -367,6 +408,14 @@
   const Member *From = Node.Membership_.find(Message.From_);
   if (From == nullptr)
     return;
+  bool OnlySettings = (Newer || SettingsDiffer) && !MembersDiffer;
+  if (OnlySettings && !isNear(Node, *From) && canWaitForNews(Node)) {
+    if (Node.Sync_.Awaited_.empty())
+      Node.Sync_.AskAt_ = Node.Now_ + NewsPatience;
+    Node.Sync_.Awaited_ = Message.From_;
+    Node.Sync_.AwaitedDigest_ = Message.SettingsDigest_;
+    return;
+  }
   if (SettingsDiffer)
     Node.Sync_.NextDigestSync_ = Node.Now_ + DigestSyncInterval;
   if (MembersDiffer)
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -2,7 +2,7 @@
 
 #include "fulmarshelf/detail/base/hash.hpp" // stableHash
 
-#include <algorithm> // shuffle, sort, min
+#include <algorithm> // find, shuffle, sort, min
 #include <bit>       // bit_width
 
 namespace fulmarshelf {
@@ -17,6 +17,9 @@
 constexpr std::size_t IndirectProbes = 3;
 constexpr std::size_t MaxReports = 6;
 constexpr std::size_t SpreadFanout = 4;
+// Members of the own failure domain that are told of news besides, from whom
+// others there can have it without crossing domains.
+constexpr std::size_t NearFanout = 3;
 constexpr unsigned BroadcastFactor = 3;
 
 // Members that are gone are forgotten at different times, so they do not count
@@ -275,7 +278,11 @@
 
 void Membership::spread(const std::vector<SettingsVersion> &News) {
   News_ = News;
-  for (const Member &Target : sample(SpreadFanout)) {
+  std::vector<Member> Targets = sample(SpreadFanout);
+  for (const Member &Near : nearSample(NearFanout))
+    if (std::find(Targets.begin(), Targets.end(), Near) == Targets.end())
+      Targets.push_back(Near);
+  for (const Member &Target : Targets) {
     GossipMessage Message;
     Message.Kind_ = GossipKind::News;
     send(Target.Peer_, Message);
@@ -342,6 +349,16 @@
   return Members;
 }
 
+std::vector<Member> Membership::nearSample(std::size_t Count) {
+  std::vector<Member> Members = usable();
+  std::erase_if(Members, [this](const Member &Other) {
+    return Other.FailureDomain_ != Self_.FailureDomain_;
+  });
+  std::shuffle(Members.begin(), Members.end(), Random_);
+  Members.resize(std::min(Count, Members.size()));
+  return Members;
+}
+
 std::vector<GossipSend> Membership::takeSends() {
   return std::exchange(Sends_, {});
 }
