--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -354,8 +354,10 @@
   std::erase_if(Members, [this](const Member &Other) {
     return Other.FailureDomain_ != Self_.FailureDomain_;
   });
+  if (Members.size() <= Count)
+    return Members;
   std::shuffle(Members.begin(), Members.end(), Random_);
-  Members.resize(std::min(Count, Members.size()));
+  Members.resize(Count);
   return Members;
 }
 
--- a/tests/unit/overload_test.cpp
+++ b/tests/unit/overload_test.cpp
@@ -103,7 +103,7 @@
   AdmissionGate Gate;
   AdmittedShares Half = FullShares;
   Half[7] = FullShare / 2;
-  for (int Round = 0; Round < 100; ++Round)
+  for (std::int64_t Round = 0; Round < 100; ++Round)
     Gate.learn(Now_ + millis(Round * 10), "r", Half);
   TimePoint Later = Now_ + millis(1000);
   int Admitted = 0;
@@ -119,7 +119,7 @@
 TEST(Overload, GateOpensWithinTwoSecondsOfSilence) {
   AdmissionGate Gate;
   AdmittedShares Shut{};
-  for (int Round = 0; Round < 100; ++Round)
+  for (std::int64_t Round = 0; Round < 100; ++Round)
     Gate.learn(Now_ + millis(Round * 10), "r", Shut);
   CHECK_FALSE(Gate.decide(Now_ + millis(1000), "r", 7).Admitted_);
   CHECK(Gate.shares(Now_ + millis(2500), "r") == FullShares);
@@ -184,7 +184,7 @@
   CHECK(Limit.limit() == 14);
   Limit.onOverload(Now_, 14);
   CHECK(Limit.limit() == 12);
-  for (int Round = 0; Round < 40; ++Round)
+  for (std::int64_t Round = 0; Round < 40; ++Round)
     Limit.onAnswer(Now_ + millis(100 * Round), millis(30), millis(30), 12);
   CHECK(Limit.limit() == 14);
 }
@@ -192,7 +192,7 @@
 TEST(Overload, RejectionsOfAHalfEmptyServerDoNotLowerItsLimit) {
   WorkLimit Limit(true);
   Limit.setSlots(15);
-  for (int Round = 0; Round < 40; ++Round)
+  for (std::int64_t Round = 0; Round < 40; ++Round)
     Limit.onOverload(Now_ + millis(1000 * Round), 5);
   CHECK(Limit.limit() == 14);
 }
