--- a/src/engine/attempt_system.cpp
+++ b/src/engine/attempt_system.cpp
@@ -52,12 +52,19 @@
   link_system::enqueue(Node, Target, Sequence);
 }
 
+// With a route table the time until the answer in microseconds.
+std::string costText(const NodeState &Node, const Candidate &Option) {
+  if (hasRouteTable(Node))
+    return std::to_string(expectedCompletion(Option).count());
+  return std::to_string(candidateCost(Option)).substr(0, 5);
+}
+
 void logChoice(NodeState &Node, const Request &Target, const Attempt &Fresh,
                const std::vector<Candidate> &Options) {
   std::string Costs;
   for (const Candidate &Option : Options)
     Costs += (Costs.empty() ? "" : ",") + Option.Node_ + ":" +
-             std::to_string(candidateCost(Option)).substr(0, 5);
+             costText(Node, Option);
   log(Node, EventNumber::OwnerChosen,
       {{"request", toString(Target.Id_)},
        {"id", Target.Facts_.CallerRequestId_},
--- a/tests/golden/runner.cpp
+++ b/tests/golden/runner.cpp
@@ -153,22 +153,62 @@
   return Found == Node.Links_.end() ? std::string() : Found->second.Node_;
 }
 
+// The table of the sessions with a route table: one route for each kind of
+// request, and a split one.
+SubtreeVersion routesOf(const Line &Source) {
+  RouteTable Table;
+  Table.Services_ = {{"shop", "/health", 10}, {"deep", "/health", 10}};
+  Table.Routes_ = {
+      {"h", "/look/", {{"shop", 1}}, true, millis(800), millis(500), 7, 2},
+      {"h", "/pay/", {{"shop", 1}}, false, millis(1000), millis(500), 9, 2},
+      {"h", "/deep/", {{"deep", 1}}, true, millis(700), millis(300), 8, 2},
+      {"h",
+       "/split/",
+       {{"shop", 1}, {"deep", 1}},
+       true,
+       millis(800),
+       millis(500),
+       7,
+       1}};
+  if (Source.text("without-split") == "yes")
+    Table.Routes_.pop_back();
+  return {std::string(RouteTablePath), Source.number("version", 1), false,
+          formatRouteTable(Table)};
+}
+
 BackendAnnounced announcementOf(const Line &Source) {
   Announcement Told;
+  Told.Instance_ = Source.text("instance");
   Told.Service_ = Source.text("service", "shop");
   Told.Address_ = {"127.0.0.1", 80};
   Told.Slots_ = static_cast<unsigned>(Source.number("slots", 1));
   Told.Connections_ = 10;
   Told.State_ = Source.text("draining") == "yes" ? BackendState::Draining
                                                  : BackendState::Serving;
-  return {Told, std::nullopt, Micros(0)};
+  std::optional<AnnouncementOrder> Order;
+  if (Source.Values_.contains("sequence"))
+    Order = AnnouncementOrder{Source.number("born"), Source.number("sequence")};
+  return {Told, Order, Micros(0)};
+}
+
+CallerArrived arrivalOf(const Line &Source) {
+  HttpRequest Http = requestOf(Source);
+  RequestFacts Facts = ownRequestFacts(Http);
+  Facts.Host_ = Source.text("host");
+  return {CallerKey{Source.number("id", 1)},
+          Source.text("backend") == "yes",
+          {Http, Facts}};
 }
 
 BackendAnswered backendAnswerOf(const Line &Source) {
   HttpResponse Response{
       static_cast<std::uint16_t>(Source.number("status", 200)),
       headersOf(Source), Source.text("body")};
-  return {WorkId{Source.number("work", 1)}, Response, ownAnswerFacts(Response)};
+  AnswerFacts Facts = ownAnswerFacts(Response);
+  Facts.OtherInstance_ = Source.text("other-instance") == "yes";
+  Facts.NotExecuted_ = Facts.NotExecuted_ || Facts.OtherInstance_ ||
+                       Source.text("not-executed") == "yes";
+  return {WorkId{Source.number("work", 1)}, Response, Facts};
 }
 
 StoreCall storeCallOf(const Line &Source) {
@@ -181,10 +221,15 @@
   StreamKey Stream{Source.number("stream", 1)};
   std::uint64_t Attempt = Source.number("attempt", 1);
   if (Word == "caller")
-    return CallerArrived{
-        CallerKey{Source.number("id", 1)},
-        Source.text("backend") == "yes",
-        {requestOf(Source), ownRequestFacts(requestOf(Source))}};
+    return arrivalOf(Source);
+  if (Word == "routes")
+    return StoreListed{
+        Collection::Routes, Source.number("version", 1), {routesOf(Source)}};
+  if (Word == "routes-unreadable")
+    return StoreUnreadable{Collection::Routes, Source.number("version", 1),
+                           "it is no JSON object"};
+  if (Word == "departed")
+    return BackendDeparted{Source.text("instance")};
   if (Word == "caller-gone")
     return CallerGone{CallerKey{Source.number("id", 1)}};
   if (Word == "call")
@@ -316,16 +361,26 @@
   void operator()(const DispatchWork &Wanted) const {
     line("dispatch " + std::to_string(Wanted.Work_.Value_) + " " +
          Wanted.Request_.Method_ + " " + Wanted.Request_.Target_ +
-         (Wanted.FreshConnection_ ? " fresh-connection" : ""));
+         (Wanted.FreshConnection_ ? " fresh-connection" : "") +
+         (Wanted.Facts_.Instance_.empty()
+              ? ""
+              : " instance=" + Wanted.Facts_.Instance_ + " time-left=" +
+                    std::to_string(Wanted.Facts_.TimeLeft_.count())));
   }
   void operator()(const CancelWork &Wanted) const {
     line("cancel-work " + std::to_string(Wanted.Work_.Value_));
   }
   void operator()(const SendDatagram &) const {}
-  void operator()(const StoreList &) const { line("store-list"); }
+  void operator()(const StoreList &Wanted) const {
+    line(Wanted.Collection_ == Collection::Teams ? "store-list"
+                                                 : "store-list routes");
+  }
   void operator()(const StoreListNodes &) const {}
   void operator()(const StoreWatch &Wanted) const {
-    line("store-watch since=" + std::to_string(Wanted.Since_));
+    line(std::string(Wanted.Collection_ == Collection::Teams
+                         ? "store-watch"
+                         : "store-watch routes") +
+         " since=" + std::to_string(Wanted.Since_));
   }
   void operator()(const StoreAnnounce &) const {}
   void operator()(const StoreWithdraw &) const { line("store-withdraw"); }
@@ -338,8 +393,16 @@
   void operator()(const Finished &) const { line("finished"); }
 };
 
-EngineConfig configOf() {
+// A session whose first line says `# route table` runs with one.
+EngineConfig configOf(const std::filesystem::path &Script) {
   EngineConfig Config;
+  std::ifstream Source(Script);
+  std::string First;
+  std::getline(Source, First);
+  if (First == "# route table") {
+    Config.Settings_.Interface_ = InterfaceKind::Platform;
+    Config.Settings_.Service_ = "shop";
+  }
   Config.Settings_.Name_ = "a";
   Config.Settings_.FailureDomain_ = "d";
   Config.Settings_.Region_ = "r";
@@ -353,7 +416,7 @@
   std::ifstream Source(Script);
   std::ostringstream Out;
   Transcript Writer{Out};
-  Engine Core(configOf());
+  Engine Core(configOf(Script));
   auto Show = [&] {
     for (const Action &Wanted : Core.takeActions())
       std::visit(Writer, Wanted);
--- a/tests/mutants/mutants.py
+++ b/tests/mutants/mutants.py
@@ -134,6 +134,48 @@
     ),
 ]
 
+BACKEND = "src/engine/backend_system.cpp"
+
+CORE += [
+    Mutant(
+        "late-announcement-is-taken",
+        BACKEND,
+        "return Departed || *Input.Order_ < *Own.Order_;",
+        "return false;",
+        "golden",
+    ),
+    Mutant(
+        "rejected-by-another-incarnation-counts-as-run",
+        OWNER,
+        "if (Input.Facts_.OtherInstance_)\n    Reply",
+        "if (false)\n    Reply",
+        "golden",
+    ),
+    Mutant(
+        "doubt-is-promised",
+        OWNER,
+        "         NeverSent ? notRun(ErrorCode::BackendFailed)\n"
+        "                   : unknownOutcome(ErrorCode::BackendFailed));",
+        "         notRun(ErrorCode::BackendFailed));",
+        "golden",
+    ),
+    Mutant(
+        "calls-do-not-inherit",
+        ENTRY,
+        "makeRank(importanceOf(Above.Rank_), true, Above.Rank_);\n"
+        "  log(Node, EventNumber::CallMatched,",
+        "Fresh.Context_.Rank_;\n  log(Node, EventNumber::CallMatched,",
+        "golden",
+    ),
+    Mutant(
+        "stops-while-callers-come",
+        "src/engine/leave_system.cpp",
+        "return Idle && Passed >= LeastTimeForCallers &&",
+        "return Idle &&",
+        "golden",
+    ),
+]
+
 PROCESSES = [
     Mutant(
         "doubt-is-not-run",
