--- a/src/cli/explain.cpp
+++ b/src/cli/explain.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-// Something that a node numbers: `request`, `work` or `attempt`.
+// Something that a life of a node numbers: `request` or `work`; or an id.
 struct Reference {
-  std::string Node_; ///< empty for names that hold everywhere
+  std::string Life_; ///< node and life; empty for ids, which hold everywhere
   std::string Kind_;
   std::string Value_;
   friend auto operator<=>(const Reference &, const Reference &) = default;
@@ -37,19 +37,41 @@
   }
 }
 
-// Numbers of one node mean nothing at another; an id of a caller does.
-std::vector<Reference> referencesOf(const LogLine &Line) {
+// Moments at which each node started.
+using Starts = std::map<std::string, std::vector<std::string>>;
+
+Starts startsOf(const std::vector<LogLine> &Lines) {
+  Starts Result;
+  for (const LogLine &Line : Lines)
+    if (Line.Event_ == "node-started")
+      Result[Line.Node_].push_back(Line.Time_);
+  return Result;
+}
+
+std::string lifeOf(const LogLine &Line, const Starts &Known) {
+  std::size_t Life = 0;
+  auto Found = Known.find(Line.Node_);
+  if (Found != Known.end())
+    for (const std::string &Start : Found->second)
+      Life += Start <= Line.Time_ ? 1 : 0;
+  return Line.Node_ + "#" + std::to_string(Life);
+}
+
+// Numbers of one life of a node mean nothing in another; an id of a caller
+// does.
+std::vector<Reference> referencesOf(const LogLine &Line, const Starts &Lives) {
   std::vector<Reference> Result;
   for (const char *Kind : {"request", "work"})
     if (std::string Value = fieldOf(Line, Kind); !Value.empty())
-      Result.push_back({Line.Node_, Kind, Value});
+      Result.push_back({lifeOf(Line, Lives), Kind, Value});
   if (std::string Value = fieldOf(Line, "id"); !Value.empty())
     Result.push_back({"", "id", Value});
   return Result;
 }
 
-bool isKnown(const LogLine &Line, const std::set<Reference> &Known) {
-  for (const Reference &Item : referencesOf(Line))
+bool isKnown(const LogLine &Line, const std::set<Reference> &Known,
+             const Starts &Lives) {
+  for (const Reference &Item : referencesOf(Line, Lives))
     if (Known.contains(Item))
       return true;
   return Known.contains({"", "id", fieldOf(Line, "parent")});
@@ -81,18 +103,19 @@
 // set grows until nothing is added.
 std::vector<LogLine> linesAbout(const std::string &RequestId,
                                 const std::vector<LogLine> &Lines) {
+  const Starts Lives = startsOf(Lines);
   std::set<Reference> Known = {{"", "id", RequestId}};
   std::size_t Before = 0;
   while (Known.size() != Before) {
     Before = Known.size();
     for (const LogLine &Line : Lines)
-      if (isKnown(Line, Known))
-        for (const Reference &Item : referencesOf(Line))
+      if (isKnown(Line, Known, Lives))
+        for (const Reference &Item : referencesOf(Line, Lives))
           Known.insert(Item);
   }
   std::vector<LogLine> Result;
   for (const LogLine &Line : Lines)
-    if (isKnown(Line, Known))
+    if (isKnown(Line, Known, Lives))
       Result.push_back(Line);
   std::stable_sort(Result.begin(), Result.end(),
                    [](const LogLine &Left, const LogLine &Right) {
--- a/tests/unit/explain_test.cpp
+++ b/tests/unit/explain_test.cpp
@@ -59,3 +59,14 @@
   CHECK(clockFindings(parsed(Logs)).empty());
   CHECK_EQUAL(1U, clockFindings(parsed(Skewed)).size());
 }
+
+// A node that started again numbers its requests from 1 again.
+TEST(Explain, NumbersHoldForOneLifeOfANode) {
+  std::vector<std::string> Restarted = Logs;
+  Restarted.insert(Restarted.end(),
+                   {"2026-01-01T00:00:01.000000Z node=b event=1801 "
+                    "node-started node=b",
+                    "2026-01-01T00:00:01.000100Z node=b event=1301 "
+                    "work-queued work=7 id=r3"});
+  CHECK_EQUAL(6U, linesAbout("r1", parsed(Restarted)).size());
+}
