--- a/src/engine/attempt_system.cpp
+++ b/src/engine/attempt_system.cpp
@@ -1,3 +1,5 @@
+#include "owner_learning.hpp" // learnFrom
+
 #include "fulmarshelf/detail/engine/answers.hpp"      // notRun
 #include "fulmarshelf/detail/engine/owner_search.hpp" // findOwners
 #include "fulmarshelf/detail/engine/systems.hpp"      // attempt_system
@@ -19,8 +21,6 @@
 constexpr double LeastCountedShare = 0.05;
 constexpr Micros LeastHedgeDelay = millis(5);
 constexpr int HedgeFactor = 2;
-constexpr std::uint16_t FirstFailureStatus = 500;
-constexpr double FailureSlowness = 3;
 constexpr Micros LeastRetryAfter = millis(200);
 constexpr Micros RetryAfterSpread = millis(800);
 
@@ -221,56 +221,6 @@
     tryAgain(Node, Id);
 }
 
-void learnFrom(NodeState &Node, const Attempt &Ended, const Request &Target,
-               const CallReply &Reply) {
-  OwnerView &View = Node.Peers_[Ended.Node_].Owner_;
-  Node.Gate_.learn(Node.Now_, Target.Route_, Reply.Load_.Shares_.Admitted_);
-  if (Reply.Service_.count() > 0)
-    View.onService(Target.Route_, Reply.Service_);
-  if (Reply.Outcome_ != Outcome::Complete) {
-    View.onEnded();
-  } else if (Reply.Response_.Status_ >= FirstFailureStatus) {
-    // Failing is often quick; it must not make an owner look fast. Work whose
-    // own calls failed says nothing about its owner.
-    if (Node.Graph_.hasCalls(Target.Route_))
-      View.onEnded();
-    else
-      View.onEnded(Node.Now_, FailureSlowness);
-  } else if (hasRouteTable(Node)) {
-    View.onEnded(Node.Now_, 1);
-    Node.CallTimes_.observe(Target.Route_, Node.Now_ - Ended.Started_);
-  } else {
-    Micros Took = Node.Now_ - Ended.Started_;
-    Micros Expected = Node.CallTimes_.expected(Target.Route_);
-    double Slowness = Expected.count() == 0
-                          ? 1.0
-                          : static_cast<double>(Took.count()) /
-                                static_cast<double>(Expected.count());
-    View.onEnded(Node.Now_, Slowness);
-    Node.CallTimes_.observe(Target.Route_, Took);
-  }
-  if (Ended.Node_ != ownName(Node))
-    View.onReport(Node.Now_, Target.Route_, importanceOf(Target.Context_.Rank_),
-                  Reply.Load_);
-}
-
-// Counts what a silent or failed owner held back as the time it took so far.
-void learnFromSilence(NodeState &Node, const Attempt &Ended,
-                      const std::string &Route) {
-  OwnerView &View = Node.Peers_[Ended.Node_].Owner_;
-  Micros Expected = Node.CallTimes_.expected(Route);
-  if (Expected.count() == 0) {
-    View.onEnded();
-    return;
-  }
-  double Slowness = static_cast<double>((Node.Now_ - Ended.Started_).count()) /
-                    static_cast<double>(Expected.count());
-  if (Slowness > 1)
-    View.onAbandoned(Node.Now_, Slowness);
-  else
-    View.onEnded();
-}
-
 } // namespace
 
 void pursue(NodeState &Node, RequestId Id) {
--- a/src/engine/entry_system.cpp
+++ b/src/engine/entry_system.cpp
@@ -1,8 +1,9 @@
-#include "fulmarshelf/detail/base/hash.hpp"            // stableHash
-#include "fulmarshelf/detail/engine/answers.hpp"       // notRun
-#include "fulmarshelf/detail/engine/parent_search.hpp" // findParentByDeadline
-#include "fulmarshelf/detail/engine/systems.hpp"       // entry_system
-#include "fulmarshelf/detail/retry/token_split.hpp"    // tokensForCall
+#include "entry_gate.hpp" // passGate
+
+#include "fulmarshelf/detail/base/hash.hpp"         // stableHash
+#include "fulmarshelf/detail/engine/answers.hpp"    // notRun
+#include "fulmarshelf/detail/engine/systems.hpp"    // entry_system
+#include "fulmarshelf/detail/retry/token_split.hpp" // tokensForCall
 
 #include <algorithm> // min, max
 
@@ -14,11 +15,9 @@
 constexpr std::size_t MaxCallsOfWork = 1024;
 constexpr std::uint32_t MaxDepth = 32;
 // A node has its settings within about a second of its start.
-constexpr double EarliestComeback = 0.1;
-constexpr double LatestComeback = 0.5;
-// An entry that lets hardly anything in must not count for too many others.
-constexpr double LeastCountedShare = 0.02;
 constexpr Micros StartingRetryAfter = millis(1000);
+// Time to write the last answers before the kill.
+constexpr Micros KillMargin = millis(300);
 constexpr std::string_view TicketPath = "/_fulmarshelf/ticket";
 
 // Answers a request that never got into the tables.
@@ -320,59 +319,12 @@
                                   Path, Fresh.Facts_.CallerKind_);
 }
 
-// A call that names no parent takes over its importance from the work that made
-// it, so that it is shed with its root and not on its own.
-bool inheritByDeadline(NodeState &Node, Request &Fresh) {
-  Work *Parent = findParentByDeadline(Node, Fresh);
-  if (Parent == nullptr)
+// A node that stops takes a request only if it can be finished before the kill.
+bool isTooLateToStart(const NodeState &Node, const Request &Fresh) {
+  if (!hasRouteTable(Node) || Node.Phase_ != NodePhase::Leaving)
     return false;
-  Fresh.MatchedParent_ = Parent->Id_;
-  ++Parent->OpenCalls_;
-  const CallContext &Above = Parent->Context_;
-  Fresh.Context_.Root_ = Above.Root_;
-  Fresh.Context_.Depth_ = Above.Depth_ + 1;
-  Fresh.Context_.Weight_ = Above.Weight_;
-  Fresh.Context_.Repeat_ = Above.Repeat_;
-  if (Above.Repeat_)
-    Node.Repeats_[Fresh.Service_].onForced(Node.Now_, repeatBound(Node));
-  Fresh.Context_.Rank_ = makeRank(importanceOf(Above.Rank_), true, Above.Rank_);
-  log(Node, EventNumber::CallMatched,
-      {{"request", toString(Fresh.Id_)},
-       {"id", Fresh.Facts_.CallerRequestId_},
-       {"work", toString(Parent->Id_)},
-       {"parent", Above.CallerRequestId_},
-       {"route", Parent->Route_},
-       {"offset", std::to_string(
-                      (Node.Now_ + *Fresh.Facts_.TimeLeft_ - Parent->HandedEnd_)
-                          .count())}});
-  return true;
-}
-
-// Spread over the part of the target that leaves time for the work itself, so
-// that those who come back do not come all at once and can still be in time.
-Micros gateRetryAfter(NodeState &Node, const EffectiveRules &Rules) {
-  std::uniform_real_distribution<double> Part(EarliestComeback, LatestComeback);
-  return Micros(static_cast<Micros::rep>(
-      static_cast<double>(Rules.Target_.count()) * Part(Node.Random_)));
-}
-
-// Lets a fresh request in if its share of what fits behind its route is not
-// used up. Calls are past the gate, their root was let in; so is what may be a
-// call as far as is known.
-bool passGate(NodeState &Node, Request &Fresh, const EffectiveRules &Rules) {
-  if (inheritByDeadline(Node, Fresh) ||
-      Node.Graph_.origin(Fresh.Route_) != RouteOrigin::Callers)
-    return true;
-  AdmissionGate::Verdict Verdict =
-      Node.Gate_.decide(Node.Now_, Fresh.Route_, Rules.Importance_);
-  if (Verdict.Admitted_) {
-    Fresh.Context_.Weight_ = 1 / std::max(Verdict.Share_, LeastCountedShare);
-    return true;
-  }
-  refuse(Node, Fresh, notRun(ErrorCode::Shed, gateRetryAfter(Node, Rules)),
-         "share " + std::to_string(Verdict.Share_) + " of route " +
-             Fresh.Route_ + " is used up");
-  return false;
+  TimePoint Kill = Node.LeaveBegan_ + Node.Config_.Settings_.Bounds_.GraceTime_;
+  return Node.Now_ + Fresh.Context_.Budget_ + KillMargin > Kill;
 }
 
 CallReply refusalWithoutRules(NodeState &Node, const Request &Fresh) {
@@ -399,7 +351,10 @@
   // With a route table each attempt of a caller has an id of its own and comes
   // in once, so there is nothing to join and no ticket is needed.
   if (hasRouteTable(Node)) {
-    if (passGate(Node, Fresh, Rules))
+    std::optional<GateRefusal> Refusal = passGate(Node, Fresh, Rules);
+    if (Refusal)
+      refuse(Node, Fresh, Refusal->Reply_, Refusal->Detail_);
+    else
       adopt(Node, std::move(Fresh));
     return;
   }
@@ -448,6 +403,11 @@
     return;
   }
   fillFromRules(Node, Fresh, *Rules);
+  if (isTooLateToStart(Node, Fresh)) {
+    refuse(Node, Fresh, notRun(ErrorCode::Leaving, StartingRetryAfter),
+           "the node stops before the request could be finished");
+    return;
+  }
   Node.Budgets_[Fresh.Service_].onFresh(Rules->RetryShare_);
   if (hasRouteTable(Node))
     Node.Repeats_[Fresh.Service_].onFresh(Node.Now_, repeatBound(Node));
--- a/src/shell/peer_network.cpp
+++ b/src/shell/peer_network.cpp
@@ -280,10 +280,12 @@
        Found->second.Streams_)
     Ended.push_back(Item.second);
   Inbound_.erase(Found);
-  for (const StreamKey &Stream : Ended) {
+  // What one dropped stream sets off may answer another one of the connection,
+  // so all of them have to be gone before anybody hears of it.
+  for (const StreamKey &Stream : Ended)
     Streams_.erase(Stream);
+  for (const StreamKey &Stream : Ended)
     OnInput_(CallDropped{Stream});
-  }
 }
 
 } // namespace fulmarshelf
--- a/src/shell/store_documents.cpp
+++ b/src/shell/store_documents.cpp
@@ -2,7 +2,7 @@
 
 #include "platform/config_codec.hpp" // parseConfig
 
-#include <nlohmann/json.hpp> // json
+#include "fulmarshelf/detail/wire/json_reader.hpp" // readJson
 
 #include <algorithm> // replace
 
@@ -16,19 +16,6 @@
 constexpr char PathSeparator = '/';
 constexpr char NameSeparator = '~';
 
-template <typename Reader>
-bool parseJson(const std::string &Text, Reader Read) {
-  Json Document = Json::parse(Text, nullptr, false);
-  if (Document.is_discarded())
-    return false;
-  try {
-    Read(Document);
-  } catch (const Json::exception &) {
-    return false;
-  }
-  return true;
-}
-
 std::string teamPath(std::string Name) {
   std::replace(Name.begin(), Name.end(), NameSeparator, PathSeparator);
   return PathSeparator + Name;
@@ -66,7 +53,7 @@
 }
 
 bool parseDocument(const std::string &Text, SettingsDocument &Result) {
-  return parseJson(Text, [&Result](const Json &From) {
+  return readJson(Text, [&Result](const Json &From) {
     SettingsDocument Parsed;
     From.at("text").get_to(Parsed.Text_);
     Parsed.Previous_ = From.value("previous", std::string());
@@ -85,7 +72,7 @@
 
 bool parseAddresses(const StoreObject &Object, NodeAddresses &Result) {
   bool Good = false;
-  parseJson(Object.Spec_, [&](const Json &From) {
+  readJson(Object.Spec_, [&](const Json &From) {
     Good =
         parseEndpoint(From.at("peer").get<std::string>(), Result.Peer_) &&
         parseEndpoint(From.at("operator").get<std::string>(), Result.Operator_);
--- a/tests/mutants/mutants.py
+++ b/tests/mutants/mutants.py
@@ -161,7 +161,7 @@
     ),
     Mutant(
         "calls-do-not-inherit",
-        ENTRY,
+        "src/engine/entry_gate.cpp",
         "makeRank(importanceOf(Above.Rank_), true, Above.Rank_);\n"
         "  log(Node, EventNumber::CallMatched,",
         "Fresh.Context_.Rank_;\n  log(Node, EventNumber::CallMatched,",
--- a/tests/unit/peer_test.cpp
+++ b/tests/unit/peer_test.cpp
@@ -1,9 +1,11 @@
 #include "fulmarshelf/detail/shell/peer_codec.hpp"   // toPeer
+#include "fulmarshelf/detail/shell/peer_network.hpp" // PeerNetwork
 #include "fulmarshelf/detail/shell/peer_session.hpp" // PeerSession
 
 #include <random> // mt19937_64
 
-#include <set> // set
+#include <memory> // unique_ptr
+#include <set>    // set
 
 #include <CppUTest/TestHarness.h> // TEST
 
@@ -154,3 +156,42 @@
           Name.c_str());
   }
 }
+
+// The owner's connection ends with two attempts open, and dropping the one
+// makes the core answer the other.
+TEST(Peer, StreamsOfAnEndedConnectionAreGoneTogether) {
+  boost::asio::io_context Context;
+  const Endpoint Place{"127.0.0.1", 15999};
+  std::vector<StreamKey> Arrived;
+  unsigned Dropped = 0;
+  bool Up = false;
+  std::unique_ptr<PeerNetwork> Owner;
+  Owner = std::make_unique<PeerNetwork>(
+      Context, Place, HelloMessage{"b", 1}, [&](const Input &Happened) {
+        if (const CallArrived *Call = std::get_if<CallArrived>(&Happened))
+          Arrived.push_back(Call->Stream_);
+        if (!std::holds_alternative<CallDropped>(Happened))
+          return;
+        ++Dropped;
+        for (const StreamKey &Stream : Arrived)
+          Owner->answer(Stream, toPeer(CallReply()));
+      });
+  PeerNetwork Entry(Context, {"127.0.0.1", 15998}, HelloMessage{"a", 1},
+                    [&](const Input &Happened) {
+                      Up = Up ||
+                           std::holds_alternative<LinkEstablished>(Happened);
+                    });
+  Entry.open(LinkId{1}, Place);
+  while (!Up)
+    Context.run_one();
+  CallMessage Message = callMessage();
+  Entry.send(LinkId{1}, Message);
+  ++Message.Attempt_.Sequence_;
+  Entry.send(LinkId{1}, Message);
+  while (Arrived.size() < 2)
+    Context.run_one();
+  Entry.close(LinkId{1});
+  while (Dropped < 2)
+    Context.run_one();
+  CHECK_EQUAL(2U, Dropped);
+}
