--- a/tests/unit/explain_test.cpp
+++ b/tests/unit/explain_test.cpp
@@ -17,19 +17,19 @@
 }
 
 const std::vector<std::string> Logs = {
-    "2026-01-01T00:00:00.000100Z node=a event=1001 request-received request=1 "
-    "id=r1 route=h/x/",
-    "2026-01-01T00:00:00.000200Z node=a event=1101 owner-chosen request=1 "
-    "id=r1 owner=b",
-    "2026-01-01T00:00:00.000300Z node=b event=1301 work-queued work=7 id=r1",
-    "2026-01-01T00:00:00.000900Z node=b event=1304 work-evicted work=7 "
-    "error=shed",
-    "2026-01-01T00:00:00.000500Z node=b event=1006 call-matched request=4 "
-    "id=c1 parent=r1",
-    "2026-01-01T00:00:00.000600Z node=b event=1003 request-refused request=4 "
-    "detail=\"two words\"",
-    "2026-01-01T00:00:00.000700Z node=c event=1301 work-queued work=7 id=r2",
-    "nothing of ours"};
+    ("2026-01-01T00:00:00.000100Z node=a event=1001 request-received request=1 "
+     "id=r1 route=h/x/"),
+    ("2026-01-01T00:00:00.000200Z node=a event=1101 owner-chosen request=1 "
+     "id=r1 owner=b"),
+    ("2026-01-01T00:00:00.000300Z node=b event=1301 work-queued work=7 id=r1"),
+    ("2026-01-01T00:00:00.000900Z node=b event=1304 work-evicted work=7 "
+     "error=shed"),
+    ("2026-01-01T00:00:00.000500Z node=b event=1006 call-matched request=4 "
+     "id=c1 parent=r1"),
+    ("2026-01-01T00:00:00.000600Z node=b event=1003 request-refused request=4 "
+     "detail=\"two words\""),
+    ("2026-01-01T00:00:00.000700Z node=c event=1301 work-queued work=7 id=r2"),
+    ("nothing of ours")};
 
 } // namespace
 
