--- a/include/fulmarshelf/detail/admission/admission_gate.hpp
+++ b/include/fulmarshelf/detail/admission/admission_gate.hpp
@@ -1,8 +1,7 @@
 #ifndef FULMARSHELF_DETAIL_ADMISSION_ADMISSION_GATE_HPP
 #define FULMARSHELF_DETAIL_ADMISSION_ADMISSION_GATE_HPP
 
-#include "fulmarshelf/detail/base/time.hpp"     // TimePoint
-#include "fulmarshelf/detail/wire/messages.hpp" // AdmittedShares
+#include "fulmarshelf/detail/admission/share_table.hpp" // ShareTable
 
 #include <array>         // array
 #include <string>        // string
@@ -37,15 +36,10 @@
   Verdict decide(TimePoint Now, const std::string &Route, unsigned Importance);
 
 private:
-  struct Entry {
-    std::array<double, ImportanceLevels> Shares_{};
-    std::array<double, ImportanceLevels> Credit_{};
-    TimePoint Heard_;
-  };
-
-  double current(TimePoint Now, const Entry &Known, std::size_t Level) const;
+  using Credits = std::array<double, ImportanceLevels>;
 
-  std::unordered_map<std::string, Entry> Routes_;
+  ShareTable Told_;
+  std::unordered_map<std::string, Credits> Credits_; ///< of routes in Told_
 };
 
 } // namespace fulmarshelf
--- /dev/null
+++ b/include/fulmarshelf/detail/admission/share_table.hpp
@@ -0,0 +1,44 @@
+#ifndef FULMARSHELF_DETAIL_ADMISSION_SHARE_TABLE_HPP
+#define FULMARSHELF_DETAIL_ADMISSION_SHARE_TABLE_HPP
+
+#include "fulmarshelf/detail/base/time.hpp"     // TimePoint
+#include "fulmarshelf/detail/wire/messages.hpp" // AdmittedShares
+
+#include <array>         // array
+#include <string>        // string
+#include <unordered_map> // unordered_map
+
+namespace fulmarshelf {
+
+/// @brief Shares that owners told for each route, averaged over a short time;
+/// they return to full ones when nothing more is heard.
+class ShareTable {
+public:
+  /// @brief Takes the shares that came with an answer.
+  void learn(TimePoint Now, const std::string &Route,
+             const AdmittedShares &Told);
+
+  /// @brief Share of one importance, 0 to 1. O(1)
+  double share(TimePoint Now, const std::string &Route,
+               std::size_t Level) const;
+
+  /// @brief Shares of a route. O(1)
+  AdmittedShares shares(TimePoint Now, const std::string &Route) const;
+
+  /// @brief False while no owner ever told less than full shares.
+  bool contains(const std::string &Route) const;
+
+private:
+  struct Entry {
+    std::array<double, ImportanceLevels> Shares_{};
+    TimePoint Heard_;
+  };
+
+  static double current(TimePoint Now, const Entry &Known, std::size_t Level);
+
+  std::unordered_map<std::string, Entry> Routes_;
+};
+
+} // namespace fulmarshelf
+
+#endif
--- a/include/fulmarshelf/detail/engine/node_state.hpp
+++ b/include/fulmarshelf/detail/engine/node_state.hpp
@@ -4,6 +4,7 @@
 #include "fulmarshelf/detail/admission/admission_gate.hpp"  // gate
 #include "fulmarshelf/detail/admission/admission_level.hpp" // level
 #include "fulmarshelf/detail/admission/demand_meter.hpp"    // demand
+#include "fulmarshelf/detail/admission/room_table.hpp"      // RoomTable
 #include "fulmarshelf/detail/admission/work_limit.hpp"      // limit
 #include "fulmarshelf/detail/admission/work_queue.hpp"      // queue
 #include "fulmarshelf/detail/engine/actions.hpp"            // Action
@@ -131,6 +132,7 @@
   WorkLimit Limit_;
   DemandMeter Demand_; ///< of the own backend server
   AdmissionGate Gate_; ///< for requests that enter here
+  RoomTable Room_;     ///< of the own failure domain
   CallGraph Graph_;
   ParentMatches ParentMatches_;
   WorkEvents WorkEvents_;
--- a/include/fulmarshelf/detail/engine/owner_search.hpp
+++ b/include/fulmarshelf/detail/engine/owner_search.hpp
@@ -24,6 +24,12 @@
 /// O(owners looked at)
 OwnerOptions findOwners(NodeState &Node, const Request &Target);
 
+/// @brief Notes on a request what its placement says about those that were
+/// placed otherwise, for the meters of the owners.
+void notePlacement(NodeState &Node, Request &Target,
+                   const std::vector<Candidate> &Options,
+                   const Placement &Picked);
+
 /// @brief Chooses one of the accepting owners.
 /// @return nullopt when there is none
 std::optional<Placement> pickOwner(NodeState &Node, const Request &Target,
--- a/include/fulmarshelf/detail/engine/tables.hpp
+++ b/include/fulmarshelf/detail/engine/tables.hpp
@@ -35,6 +35,8 @@
   Micros Target_{0};         ///< a good answer comes within it; 0: no such aim
   WorkId Parent_;            ///< 0 when it came from outside
   WorkId MatchedParent_;     ///< work that its end agrees with; 0: none
+  bool HomeNear_ = true;     ///< its root runs in the root's failure domain
+  double HomeWeight_ = 1;    ///< roots placed otherwise count with this one
   std::string ChildKey_;     ///< its key among the calls of its parent
   std::string JoinKey_;      ///< its key among the requests of outside callers
   std::uint64_t Ticket_ = 0; ///< sequence of the ticket homed here
--- a/include/fulmarshelf/detail/routing/owner_choice.hpp
+++ b/include/fulmarshelf/detail/routing/owner_choice.hpp
@@ -44,9 +44,11 @@
   /// silences counted in; nullopt when it has not run there yet.
   std::optional<Micros> serviceTime(TimePoint Now,
                                     const std::string &Route) const;
-  /// @brief Share of calls of an importance that the owner has room for.
-  /// @param Near whether they come from its own failure domain
-  double share(TimePoint Now, unsigned Importance, bool Near) const;
+  /// @brief Share of a route's calls that there is room for, at the owner and
+  /// behind it.
+  /// @param Near whether the root of their chain is in its failure domain
+  double share(TimePoint Now, const std::string &Route, unsigned Importance,
+               bool Near) const;
   /// @brief Time until a call that is sent now would start, from the owner's
   /// last word and what was sent to it since.
   /// @param Importance of the call; more important work waits less
@@ -63,6 +65,7 @@
 private:
   struct RouteLevel {
     Rank Level_ = 0;
+    OwnerShares Shares_;
     TimePoint Heard_;
     TimePoint NextProbe_;
   };
--- a/include/fulmarshelf/detail/wire/messages.hpp
+++ b/include/fulmarshelf/detail/wire/messages.hpp
@@ -88,7 +88,7 @@
   Micros Budget_{0};         ///< time left until the caller gives up
   double Weight_ = 1;        ///< requests of the root's kind that it stands for
   double PlaceWeight_ = 1;   ///< calls that would have come to this owner
-  bool Near_ = true;         ///< entry and owner are in one failure domain
+  bool Near_ = true;         ///< the whole chain is in the root's domain
   bool Idempotent_ = true;
   bool Repeat_ = false; ///< a backend server may have run it before
   friend bool operator==(const CallContext &, const CallContext &) = default;
--- a/src/admission/admission_gate.cpp
+++ b/src/admission/admission_gate.cpp
@@ -1,73 +1,27 @@
 #include "fulmarshelf/detail/admission/admission_gate.hpp"
 
-#include <algorithm> // clamp, min
-#include <cmath>     // exp, lround
+#include <algorithm> // min
 
 namespace fulmarshelf {
 
-namespace {
-
-// Answers come from several owners with shares of their own; the mean over
-// this time is what the route can bear.
-constexpr double SmoothingMicros = 200'000;
-// Without news a share holds for a while and then rises to the full one over
-// as long again: an entry that is let in little hears little.
-constexpr double HoldMicros = 500'000;
-constexpr double ReleaseMicros = 1'000'000;
-constexpr std::size_t MaxRoutes = 4096;
-
-} // namespace
-
 void AdmissionGate::learn(TimePoint Now, const std::string &Route,
                           const AdmittedShares &Told) {
-  auto Found = Routes_.find(Route);
-  if (Found == Routes_.end()) {
-    if (Told == FullShares || Routes_.size() >= MaxRoutes)
-      return;
-    Found = Routes_.emplace(Route, Entry()).first;
-    Found->second.Shares_.fill(1);
-    Found->second.Heard_ = Now;
-  }
-  Entry &Known = Found->second;
-  auto Elapsed = static_cast<double>((Now - Known.Heard_).count());
-  // One answer counts for at least a tenth of the smoothing time.
-  double Weight = 1 - std::exp(-std::max(Elapsed / SmoothingMicros, 0.1));
-  for (std::size_t Level = 0; Level < ImportanceLevels; ++Level) {
-    double Before = current(Now, Known, Level);
-    double Share = static_cast<double>(Told[Level]) / FullShare;
-    Known.Shares_[Level] = Before + Weight * (Share - Before);
-  }
-  Known.Heard_ = Now;
-}
-
-double AdmissionGate::current(TimePoint Now, const Entry &Known,
-                              std::size_t Level) const {
-  auto Age = static_cast<double>((Now - Known.Heard_).count());
-  double Released = std::clamp((Age - HoldMicros) / ReleaseMicros, 0.0, 1.0);
-  return Known.Shares_[Level] + Released * (1 - Known.Shares_[Level]);
+  Told_.learn(Now, Route, Told);
 }
 
 AdmittedShares AdmissionGate::shares(TimePoint Now,
                                      const std::string &Route) const {
-  auto Found = Routes_.find(Route);
-  AdmittedShares Result = FullShares;
-  if (Found == Routes_.end())
-    return Result;
-  for (std::size_t Level = 0; Level < ImportanceLevels; ++Level)
-    Result[Level] = static_cast<std::uint8_t>(
-        std::lround(current(Now, Found->second, Level) * FullShare));
-  return Result;
+  return Told_.shares(Now, Route);
 }
 
 AdmissionGate::Verdict AdmissionGate::decide(TimePoint Now,
                                              const std::string &Route,
                                              unsigned Importance) {
-  auto Found = Routes_.find(Route);
-  if (Found == Routes_.end())
+  if (!Told_.contains(Route))
     return {};
   std::size_t Level = std::min<std::size_t>(Importance, ImportanceLevels - 1);
-  double Share = current(Now, Found->second, Level);
-  double &Credit = Found->second.Credit_[Level];
+  double Share = Told_.share(Now, Route, Level);
+  double &Credit = Credits_[Route][Level];
   Credit += Share;
   bool Admitted = Credit >= 1;
   if (Admitted)
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,3 +1,4 @@
+#include "backends.hpp"                             // backendRows
 #include "explain.hpp"                              // linesAbout
 #include "fulmarshelf/detail/shell/http_caller.hpp" // fetch
 #include "platform_client.hpp"                      // PlatformClient
@@ -350,6 +351,18 @@
   return ExitDone;
 }
 
+int runBackends(const Arguments &Given) {
+  Endpoint Node;
+  if (!readPlace(Given.Node_, "FULMARSHELF_NODE", Node))
+    return fail(ExitUsage, "needs --node or FULMARSHELF_NODE");
+  std::optional<std::string> Page = readPage(Node, "/status");
+  if (!Page)
+    return fail(ExitUnreachable, toString(Node) + " does not answer");
+  Json Rows = backendRows(Json::parse(*Page));
+  std::cout << (Given.Json_ ? Rows.dump(1) + "\n" : backendTable(Rows));
+  return ExitDone;
+}
+
 int runRoutes(const Arguments &Given) {
   Endpoint Node;
   if (!readPlace(Given.Node_, "FULMARSHELF_NODE", Node))
@@ -410,6 +423,7 @@
        {"/SERVICE/PATH [--method M] [--caller KIND] --node EP", 1,
         &runEffective}},
       {"status", {"--node EP [--json]", 0, &runStatus}},
+      {"backends", {"--node EP [--json]", 0, &runBackends}},
       {"routes", {"--node EP", 0, &runRoutes}},
       {"explain", {"REQUEST-ID FILE [FILE ...]", 2, &runExplain, true}},
       {"ticket", {"--entry EP", 0, &runTicket}}};
--- a/src/engine/attempt_system.cpp
+++ b/src/engine/attempt_system.cpp
@@ -17,8 +17,6 @@
 // Attempts that a leaving owner refused, or that could not be sent, reached no
 // backend server and cost no token, but their number is bounded too.
 constexpr unsigned MaxFreeMoves = 2;
-// A rare choice must not count for too many calls that were placed otherwise.
-constexpr double LeastCountedShare = 0.05;
 constexpr Micros LeastHedgeDelay = millis(5);
 constexpr int HedgeFactor = 2;
 constexpr Micros LeastRetryAfter = millis(200);
@@ -230,9 +228,7 @@
   if (Picked) {
     const Candidate &Chosen = Options.Accepting_[Picked->Index_];
     std::string Owner = Chosen.Node_;
-    Target.Context_.Near_ = Chosen.Near_;
-    Target.Context_.PlaceWeight_ =
-        1 / std::max(Picked->Probability_, LeastCountedShare);
+    notePlacement(Node, Target, Options.Accepting_, *Picked);
     startAttempt(Node, Id, Owner, false, Options.Accepting_);
     return;
   }
--- a/src/engine/entry_gate.cpp
+++ b/src/engine/entry_gate.cpp
@@ -29,6 +29,8 @@
   Fresh.Context_.Root_ = Above.Root_;
   Fresh.Context_.Depth_ = Above.Depth_ + 1;
   Fresh.Context_.Weight_ = Above.Weight_;
+  Fresh.HomeNear_ = Above.Near_;
+  Fresh.HomeWeight_ = Above.PlaceWeight_;
   Fresh.Context_.Repeat_ = Above.Repeat_;
   if (Above.Repeat_)
     Node.Repeats_[Fresh.Service_].onForced(Node.Now_, repeatBound(Node));
--- a/src/engine/entry_system.cpp
+++ b/src/engine/entry_system.cpp
@@ -272,9 +272,10 @@
   return std::nullopt;
 }
 
-// A ticket for the asking, so that a booking needs no refused first try.
+// A ticket for the asking, so that a booking needs no refused first try. With
+// a route table there are no tickets, and the path is one like others.
 bool answerTicketRequest(NodeState &Node, const CallerArrived &Input) {
-  if (Input.Request_.Http_.Target_ != TicketPath)
+  if (hasRouteTable(Node) || Input.Request_.Http_.Target_ != TicketPath)
     return false;
   Ticket Offered = Node.Tickets_.issue(Node.Now_);
   log(Node, EventNumber::TicketIssued,
--- a/src/engine/owner_learning.cpp
+++ b/src/engine/owner_learning.cpp
@@ -7,12 +7,22 @@
 constexpr std::uint16_t FirstFailureStatus = 500;
 constexpr double FailureSlowness = 3;
 
+bool isInOwnDomain(const NodeState &Node, const std::string &Owner) {
+  if (Owner == ownName(Node))
+    return true;
+  const Member *Peer = Node.Membership_.find(Owner);
+  return Peer != nullptr &&
+         Peer->FailureDomain_ == Node.Config_.Settings_.FailureDomain_;
+}
+
 } // namespace
 
 void learnFrom(NodeState &Node, const Attempt &Ended, const Request &Target,
                const CallReply &Reply) {
   OwnerView &View = Node.Peers_[Ended.Node_].Owner_;
   Node.Gate_.learn(Node.Now_, Target.Route_, Reply.Load_.Shares_.Admitted_);
+  if (isInOwnDomain(Node, Ended.Node_))
+    Node.Room_.learn(Node.Now_, Target.Route_, Reply.Load_.Shares_);
   if (Reply.Service_.count() > 0)
     View.onService(Target.Route_, Reply.Service_);
   if (Reply.Outcome_ != Outcome::Complete) {
--- a/src/engine/owner_search.cpp
+++ b/src/engine/owner_search.cpp
@@ -1,6 +1,7 @@
 #include "fulmarshelf/detail/engine/owner_search.hpp"
 
-#include "fulmarshelf/detail/engine/systems.hpp" // owner_system
+#include "fulmarshelf/detail/engine/room_behind.hpp" // sharesBehind
+#include "fulmarshelf/detail/engine/systems.hpp"     // owner_system
 
 #include <algorithm> // max, min
 
@@ -13,6 +14,8 @@
 // An owner in another failure domain has to be faster by the time of one call,
 // and at least by this part of the route's target, to be worth the crossing.
 constexpr double MarginOfTarget = 0.1;
+// A rare choice must not count for too many calls that were placed otherwise.
+constexpr double LeastCountedShare = 0.05;
 
 bool servesHere(const NodeState &Node, const std::string &Service) {
   return backend_system::isServing(Node) &&
@@ -47,6 +50,12 @@
       Node.Now_, importanceOf(Target.Context_.Rank_), Result.Service_);
 }
 
+// A call whose root was moved or kept by the share of its chain is one of those
+// that have room; only what the share has fallen since counts.
+double shareStillKept(const Request &Target, double Share) {
+  return std::min(1.0, Share * Target.HomeWeight_);
+}
+
 void consider(NodeState &Node, const Request &Target, const Member &Owner,
               OwnerOptions &Options) {
   PeerView &View = Node.Peers_[Owner.Node_];
@@ -71,8 +80,10 @@
   Candidate &Added = Options.Accepting_.back();
   Added.Service_ += wayTo(Node, Owner);
   Added.Near_ = wayTo(Node, Owner) == Micros(0);
-  Added.Share_ = View.Owner_.share(
-      Node.Now_, importanceOf(Target.Context_.Rank_), Added.Near_);
+  double Share = View.Owner_.share(Node.Now_, Target.Route_,
+                                   importanceOf(Target.Context_.Rank_),
+                                   Added.Near_ && Target.HomeNear_);
+  Added.Share_ = Added.Near_ ? shareStillKept(Target, Share) : Share;
 }
 
 void considerSelf(NodeState &Node, const Request &Target,
@@ -95,10 +106,13 @@
   estimate(Node, Target, View, Added);
   std::size_t Importance = std::min<std::size_t>(
       importanceOf(Target.Context_.Rank_), ImportanceLevels - 1);
-  if (hasRouteTable(Node))
+  if (hasRouteTable(Node)) {
+    OwnerShares Shares = sharesBehind(Node, Target.Route_);
+    std::uint8_t Share = Target.HomeNear_ ? Shares.Kept_[Importance]
+                                          : Shares.Foreign_[Importance];
     Added.Share_ =
-        static_cast<double>(Node.Demand_.shares().Kept_[Importance]) /
-        FullShare;
+        shareStillKept(Target, static_cast<double>(Share) / FullShare);
+  }
   if (Node.Running_ >= Node.Limit_.limit())
     Added.Wait_ = Node.Queue_.predictedWait(Target.Context_.Rank_,
                                             std::max(1U, Node.Limit_.limit()));
@@ -133,6 +147,22 @@
   return Options;
 }
 
+void notePlacement(NodeState &Node, Request &Target,
+                   const std::vector<Candidate> &Options,
+                   const Placement &Picked) {
+  const Candidate &Chosen = Options[Picked.Index_];
+  double Weight = 1 / std::max(Picked.Probability_, LeastCountedShare);
+  Target.Context_.Near_ = Chosen.Near_ && Target.HomeNear_;
+  Target.Context_.PlaceWeight_ =
+      std::min(1 / LeastCountedShare,
+               Chosen.Near_ ? Weight * Target.HomeWeight_ : Weight);
+  bool HasNear = false;
+  for (const Candidate &Option : Options)
+    HasNear = HasNear || Option.Near_;
+  if (!HasNear && Target.Tries_ == 0)
+    Node.Room_.learnNone(Node.Now_, Target.Route_);
+}
+
 std::optional<Placement> pickOwner(NodeState &Node, const Request &Target,
                                    const std::vector<Candidate> &Options) {
   if (Options.empty())
--- a/src/engine/owner_system.cpp
+++ b/src/engine/owner_system.cpp
@@ -1,5 +1,6 @@
 #include "fulmarshelf/detail/engine/answers.hpp"       // notRun
 #include "fulmarshelf/detail/engine/parent_search.hpp" // forgetRunning
+#include "fulmarshelf/detail/engine/room_behind.hpp"   // sharesBehind
 #include "fulmarshelf/detail/engine/systems.hpp"       // owner_system
 #include "work_slots.hpp"                              // evict, stopRunning
 
@@ -42,10 +43,7 @@
                   LoadReport &Report) {
   if (!hasRouteTable(Node))
     return;
-  Report.Shares_ = Node.Demand_.shares();
-  for (const std::string &Called : Node.Graph_.callsOf(Route))
-    Report.Shares_.Admitted_ =
-        scarcer(Report.Shares_.Admitted_, Node.Gate_.shares(Node.Now_, Called));
+  Report.Shares_ = sharesBehind(Node, Route);
   Report.Wait_ =
       Node.Running_ < Node.Limit_.limit()
           ? Micros(0)
--- a/src/engine/status.cpp
+++ b/src/engine/status.cpp
@@ -18,15 +18,32 @@
   return List;
 }
 
+// What this node has seen of another one's backend server.
+Json viewOf(const NodeState &Node, const OwnerView &Seen) {
+  const LoadReport &Told = Seen.report();
+  return {{"limit", Told.Limit_},
+          {"running", Told.InFlight_},
+          {"queued", Told.Queued_},
+          {"sent_from_here", Seen.inFlight()},
+          {"slowness", Seen.slowness(Node.Now_)},
+          {"level", Told.Level_},
+          {"leaving", Seen.isLeaving(Node.Now_)}};
+}
+
 Json membersOf(const NodeState &Node) {
   Json List = Json::array();
-  for (const Member &Known : Node.Membership_.all())
-    List.push_back({{"node", Known.Node_},
-                    {"status", std::string(statusName(Known.Status_))},
-                    {"peer", toString(Known.Peer_)},
-                    {"region", Known.Region_},
-                    {"failure_domain", Known.FailureDomain_},
-                    {"service", Known.Service_}});
+  for (const Member &Known : Node.Membership_.all()) {
+    Json Entry = {{"node", Known.Node_},
+                  {"status", std::string(statusName(Known.Status_))},
+                  {"peer", toString(Known.Peer_)},
+                  {"region", Known.Region_},
+                  {"failure_domain", Known.FailureDomain_},
+                  {"service", Known.Service_}};
+    auto Seen = Node.Peers_.find(Known.Node_);
+    if (Seen != Node.Peers_.end())
+      Entry["load"] = viewOf(Node, Seen->second.Owner_);
+    List.push_back(Entry);
+  }
   return List;
 }
 
--- a/src/routing/owner_choice.cpp
+++ b/src/routing/owner_choice.cpp
@@ -62,6 +62,7 @@
     return;
   RouteLevel &Entry = Levels_[Route];
   Entry.Level_ = Report.Level_;
+  Entry.Shares_ = Report.Shares_;
   Entry.Heard_ = Now;
 }
 
@@ -94,11 +95,13 @@
       static_cast<double>(Found->second.count()) * slowness(Now)));
 }
 
-double OwnerView::share(TimePoint Now, unsigned Importance, bool Near) const {
-  if (Now - ReportedAt_ > WaitLifetime)
+double OwnerView::share(TimePoint Now, const std::string &Route,
+                        unsigned Importance, bool Near) const {
+  auto Found = Levels_.find(Route);
+  if (Found == Levels_.end() || Now - Found->second.Heard_ > LevelLifetime)
     return 1;
-  const AdmittedShares &Told =
-      Near ? Report_.Shares_.Kept_ : Report_.Shares_.Foreign_;
+  const OwnerShares &Shares = Found->second.Shares_;
+  const AdmittedShares &Told = Near ? Shares.Kept_ : Shares.Foreign_;
   return static_cast<double>(
              Told[std::min<std::size_t>(Importance, ImportanceLevels - 1)]) /
          FullShare;
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -1,3 +1,4 @@
+#include "platform/backend_codec.hpp"    // encodeHeartbeat
 #include "platform/config_codec.hpp"     // parseConfig
 #include "platform/platform_dialect.hpp" // PlatformDialect
 #include "platform/store_codec.hpp"      // parseList
@@ -206,3 +207,32 @@
     Dialect_.decodeNotice(heartbeat(Bytes));
   }
 }
+
+TEST(Platform, StandInsAndNodeUnderstandEachOther) {
+  BackendAnnounced Told;
+  Told.Announcement_.Service_ = "s1";
+  Told.Announcement_.Instance_ = "i-7";
+  Told.Announcement_.Address_ = {"10.0.0.9", 80};
+  Told.Announcement_.Slots_ = 4;
+  Told.Order_ = AnnouncementOrder{1700000000000, 3};
+  BackendNotice Heard = Dialect_.decodeNotice(encodeHeartbeat(Told));
+  const BackendAnnounced *Read = std::get_if<BackendAnnounced>(&Heard);
+  CHECK(Read != nullptr);
+  CHECK(Read->Announcement_ == Told.Announcement_);
+  CHECK(Read->Order_ == Told.Order_);
+  CHECK(std::holds_alternative<BackendDeparted>(
+      Dialect_.decodeNotice(encodeDeparture("i-7"))));
+}
+
+TEST(Platform, StandInsSayWhatDidNotRun) {
+  ReceivedDispatch Of{"r-1", "i-7", millis(100)};
+  AnswerFacts Misdirected = Dialect_.decodeAnswer(encodeNotRun(Of, 421));
+  CHECK(Misdirected.OtherInstance_);
+  CHECK(Misdirected.NotExecuted_);
+  AnswerFacts Full = Dialect_.decodeAnswer(encodeNotRun(Of, 503));
+  CHECK_FALSE(Full.OtherInstance_);
+  CHECK(Full.NotExecuted_);
+  AnswerFacts Ran = Dialect_.decodeAnswer(encodeRun(Of, {1, 2, 3, 100}, "x"));
+  CHECK_FALSE(Ran.NotExecuted_);
+  CHECK(Ran.Load_ == (BackendLoad{1, 2, 3, 100}));
+}
--- a/tools/mesh.py
+++ b/tools/mesh.py
@@ -80,9 +80,10 @@
         ]
         if self.advertised:
             lines.append(f"peers-advertised = {self.advertised}")
-        lines += ["[platform]", f"address = {self.mesh.platform}"]
+        lines += ["[platform]", f"address = {self.mesh.store_of(self)}"]
         if self.seeds:
             lines.append(f"seeds = {', '.join(self.seeds)}")
+        lines += self.mesh.more_settings(self)
         lines += [
             "[log]",
             f"file = {self.log_path()}",
@@ -101,18 +102,7 @@
 
     def start_backend(self):
         self.backend_process = self.mesh.spawn(
-            "backend_standin",
-            "--topology",
-            self.mesh.topology,
-            "--service",
-            self.service,
-            "--listen",
-            self.backend,
-            "--node",
-            self.backend_side,
-            "--seed",
-            str(sum(self.name.encode())),
-            name=f"{self.name}-backend",
+            *self.mesh.backend_command(self), name=f"{self.name}-backend"
         )
 
     def status(self):
@@ -210,14 +200,41 @@
     def of(self, service):
         return [w for w in self.workers if w.service == service]
 
-    def start_platform(self):
-        self.platform_process = self.spawn(
-            "platform_standin", "--listen", self.platform
-        )
-        wait_until(
-            lambda: http("GET", self.platform, "/admin")[0] == 200, "platform is up"
+    def store_of(self, worker):
+        """Address at which a node finds the platform's store."""
+        return self.platform
+
+    def more_settings(self, worker):
+        """Further lines of a node's settings."""
+        return []
+
+    def backend_command(self, worker):
+        return (
+            "backend_standin",
+            "--topology",
+            self.topology,
+            "--service",
+            worker.service,
+            "--listen",
+            worker.backend,
+            "--node",
+            worker.backend_side,
+            "--seed",
+            str(sum(worker.name.encode())),
         )
 
+    def platform_command(self):
+        return ("platform_standin", "--listen", self.platform)
+
+    def start_platform(self):
+        self.platform_process = self.spawn(*self.platform_command())
+        wait_until(self._platform_is_up, "platform is up")
+
+    def _platform_is_up(self):
+        if self.platform_process.poll() is not None:
+            raise RuntimeError("the platform stand-in ended; is its port taken?")
+        return http("GET", self.platform, "/admin")[0] == 200
+
     def platform_admin(self, query=""):
         return json.loads(http("POST", self.platform, f"/admin?{query}")[2])
 
@@ -243,6 +260,14 @@
             raise RuntimeError(f"settings were not accepted: {out}{err}")
 
     def start(self, apply=True):
+        try:
+            self._start(apply)
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def _start(self, apply):
         self.start_platform()
         if apply:
             self.apply_settings()
@@ -251,7 +276,6 @@
         for worker in self.workers if self.backends else []:
             worker.start_backend()
         self.wait_ready()
-        return self
 
     def wait_ready(self, timeout=60.0):
         for worker in self.workers:
--- a/tools/platform_standin.cpp
+++ b/tools/platform_standin.cpp
@@ -1,6 +1,7 @@
 // Stand-in for the platform's store: objects by kind and name, revisions,
 // conditional updates and watches in memory. It can be down, slow, silent, or
-// lose answers to writes that took effect.
+// lose answers to writes that took effect. It has a second address at which it
+// can refuse or ignore calls while it serves those at the first one.
 #include "fulmarshelf/detail/shell/announcement_codec.hpp" // queryValue
 #include "fulmarshelf/detail/shell/http_service.hpp"       // HttpService
 #include "platform/store_codec.hpp"                        // StoreObject
@@ -26,6 +27,8 @@
   bool Silent_ = false;          ///< calls are never answered
   std::uint64_t SlowMs_ = 0;     ///< delay of each answer
   std::uint64_t LoseWrites_ = 0; ///< writes that take effect unanswered
+  bool SecondRefuses_ = false;   ///< calls at the second address get 503
+  bool SecondSilent_ = false;    ///< calls at the second address get nothing
 };
 
 struct Counts {
@@ -48,17 +51,38 @@
   friend auto operator<=>(const ObjectKey &, const ObjectKey &) = default;
 };
 
+// The two addresses have key spaces of their own.
+constexpr std::uint64_t SecondKeySpace = 1;
+constexpr unsigned KeySpaceShift = 56;
+
+bool isAtSecond(CallerKey Caller) {
+  return Caller.Value_ >> KeySpaceShift == SecondKeySpace;
+}
+
 class Platform {
 public:
-  Platform(boost::asio::io_context &Context, const Endpoint &Place)
+  Platform(boost::asio::io_context &Context, const Endpoint &Place,
+           const std::optional<Endpoint> &Second)
       : Context_(Context),
-        Service_(Context, Place, 0, MaxConnections, limits(),
-                 {[this](CallerKey Caller, const HttpRequest &Request) {
-                    receive(Caller, Request);
-                  },
-                  [this](CallerKey Caller) { forget(Caller); }}) {}
+        Service_(Context, Place, 0, MaxConnections, limits(), handlers()) {
+    if (Second)
+      Second_.emplace(Context, *Second, SecondKeySpace, MaxConnections,
+                      limits(), handlers());
+  }
 
 private:
+  HttpService::Handlers handlers() {
+    return {[this](CallerKey Caller, const HttpRequest &Request) {
+              receive(Caller, Request);
+            },
+            [this](CallerKey Caller) { forget(Caller); }};
+  }
+
+  void send(CallerKey Caller, const HttpResponse &Response) {
+    HttpService &Door = isAtSecond(Caller) && Second_ ? *Second_ : Service_;
+    Door.respond(Caller, Response);
+  }
+
   static HttpLimits limits() {
     HttpLimits Limits;
     Limits.BodyBytes_ = 2 * MaxValueBytes;
@@ -68,12 +92,13 @@
   void receive(CallerKey Caller, const HttpRequest &Request) {
     std::string Path(pathOf(Request.Target_));
     if (Path == "/admin") {
-      Service_.respond(Caller, administer(Request));
+      send(Caller, administer(Request));
       return;
     }
-    if (Faults_.Silent_)
+    bool Second = isAtSecond(Caller);
+    if (Faults_.Silent_ || (Second && Faults_.SecondSilent_))
       return;
-    if (Faults_.Down_) {
+    if (Faults_.Down_ || (Second && Faults_.SecondRefuses_)) {
       respond(Caller, 503, Json{{"error", "down"}});
       return;
     }
@@ -102,10 +127,16 @@
     Faults_.Silent_ = Read("silent", Faults_.Silent_ ? 1 : 0) != 0;
     Faults_.SlowMs_ = Read("slow-ms", Faults_.SlowMs_);
     Faults_.LoseWrites_ = Read("lose-writes", Faults_.LoseWrites_);
+    Faults_.SecondRefuses_ =
+        Read("second-refuses", Faults_.SecondRefuses_ ? 1 : 0) != 0;
+    Faults_.SecondSilent_ =
+        Read("second-silent", Faults_.SecondSilent_ ? 1 : 0) != 0;
     if (Read("forget-history", 0) != 0)
       forgetHistory();
     if (Faults_.Down_)
-      endAllWatches();
+      endWatches(false);
+    else if (Faults_.SecondRefuses_)
+      endWatches(true);
     Json Page = {{"reads", Counts_.Reads_},
                  {"writes", Counts_.Writes_},
                  {"watches", Counts_.Watches_},
@@ -114,9 +145,13 @@
     return {200, {}, Page.dump() + "\n"};
   }
 
-  void endAllWatches() {
-    for (const Watch &Waiting : std::exchange(Watches_, {}))
-      respond(Waiting.Caller_, 503, Json{{"error", "down"}});
+  void endWatches(bool OnlySecond) {
+    std::vector<Watch> Waiting = std::exchange(Watches_, {});
+    for (const Watch &Item : Waiting)
+      if (OnlySecond && !isAtSecond(Item.Caller_))
+        Watches_.push_back(Item);
+      else
+        respond(Item.Caller_, 503, Json{{"error", "down"}});
   }
 
   // Changes up to now can be watched no more.
@@ -244,14 +279,14 @@
                    const std::string &Body) {
     HttpResponse Response{Status, {{"Content-Type", "application/json"}}, Body};
     if (Faults_.SlowMs_ == 0) {
-      Service_.respond(Caller, Response);
+      send(Caller, Response);
       return;
     }
     auto Timer = std::make_shared<boost::asio::steady_timer>(
         Context_, std::chrono::milliseconds(Faults_.SlowMs_));
     Timer->async_wait(
         [this, Timer, Caller, Response](boost::system::error_code) {
-          Service_.respond(Caller, Response);
+          send(Caller, Response);
         });
   }
 
@@ -263,6 +298,7 @@
   Faults Faults_;
   Counts Counts_;
   HttpService Service_;
+  std::optional<HttpService> Second_;
 };
 
 } // namespace
@@ -271,14 +307,21 @@
   TCLAP::CmdLine Line("Stand-in for the platform's object API", ' ', "0.1");
   TCLAP::ValueArg<std::string> Address("l", "listen", "address and port", true,
                                        "", "endpoint", Line);
+  TCLAP::ValueArg<std::string> SecondAddress(
+      "s", "second", "second address and port", false, "", "endpoint", Line);
   Line.parse(Count, Arguments);
   Endpoint Place;
-  if (!parseEndpoint(Address.getValue(), Place)) {
-    std::cerr << "not an IP number and a port: " << Address.getValue() << '\n';
+  Endpoint SecondPlace;
+  bool HasSecond = SecondAddress.isSet();
+  if (!parseEndpoint(Address.getValue(), Place) ||
+      (HasSecond && !parseEndpoint(SecondAddress.getValue(), SecondPlace))) {
+    std::cerr << "not an IP number and a port\n";
     return 2;
   }
   boost::asio::io_context Context(1);
-  Platform Server(Context, Place);
+  Platform Server(Context, Place,
+                  HasSecond ? std::optional<Endpoint>(SecondPlace)
+                            : std::nullopt);
   Context.run();
   return 0;
 }
