--- a/include/fulmarshelf/detail/routing/call_graph.hpp
+++ b/include/fulmarshelf/detail/routing/call_graph.hpp
@@ -25,8 +25,8 @@
 /// could have made it, and is a hit when it agrees with some of it: it ends
 /// when the work ends, or, where its own time limit hides that, it comes just
 /// after the work got an answer. A caller's request hits by chance only, and
-/// how likely that is is known, so a few requests tell the two apart (Wald's
-/// sequential probability ratio test).
+/// how likely that is is known, so hits far above chance tell calls. How often
+/// calls hit is not known: work that is slow makes them later than expected.
 class CallGraph {
 public:
   /// @brief A request was compared with running work.
@@ -57,7 +57,9 @@
 
 private:
   struct Entry {
-    double Evidence_ = 0; ///< log of the odds that work calls it
+    double Excess_ = 0;   ///< hits above those that chance gives
+    double Variance_ = 0; ///< of the hits that chance gives
+    double Rest_ = 0;     ///< misses that chance gives
     double Traced_ = 0;
     std::map<std::string, double> Parents_;
     Micros MostLeft_{0};      ///< longest time left that was seen
--- a/src/routing/call_graph.cpp
+++ b/src/routing/call_graph.cpp
@@ -1,23 +1,28 @@
 #include "fulmarshelf/detail/routing/call_graph.hpp"
 
 #include <algorithm> // clamp
-#include <cmath>     // log
+#include <cmath>     // sqrt
 
 namespace fulmarshelf {
 
 namespace {
 
-// Calls agree with the work that made them in nine cases of ten.
-constexpr double CallHits = 0.9;
+// So many standard deviations above chance come about by chance once in 700.
+constexpr double DecidingDeviations = 3;
+// A caller's requests are told when, with two standard deviations to spare,
+// less than this part of what chance leaves over agreed as well; of calls it is
+// half at the least, even where slow work makes them late.
+constexpr double SparedDeviations = 2;
+constexpr double CallersExcess = 0.35;
+// With a chance near 0 or 1 one comparison would decide on its own.
 constexpr double LeastChance = 0.02;
-constexpr double MostChance = 0.85;
-// Odds of 20 to 1 decide; beyond 3000 to 1 nothing more is kept, so that a
-// route that changes its nature is noticed.
-constexpr double DecidingEvidence = 3;
-constexpr double MostEvidence = 8;
+constexpr double MostChance = 0.98;
 // No call leaves itself more time than its parent has, but for the work of an
-// earlier life of this process, which is not known.
-constexpr double CallerEvidence = 1.5;
+// earlier life of this process, which is not known: a miss with even chances.
+constexpr double CallerChance = 0.5;
+// Comparisons lose their weight over so many newer ones, so that a route that
+// changes its nature is noticed.
+constexpr double MemoryComparisons = 200;
 // Old traces lose half of their weight after this many newer ones.
 constexpr double MemoryTraces = 200;
 constexpr std::size_t MaxRoutes = 4096;
@@ -40,10 +45,10 @@
   if (Known == nullptr)
     return;
   double Random = std::clamp(Chance, LeastChance, MostChance);
-  double Change = Hit ? std::log(CallHits / Random)
-                      : std::log((1 - CallHits) / (1 - Random));
-  Known->Evidence_ =
-      std::clamp(Known->Evidence_ + Change, -MostEvidence, MostEvidence);
+  double Kept = 1 - 1 / MemoryComparisons;
+  Known->Excess_ = Kept * Known->Excess_ + (Hit ? 1 : 0) - Random;
+  Known->Variance_ = Kept * Known->Variance_ + Random * (1 - Random);
+  Known->Rest_ = Kept * Known->Rest_ + 1 - Random;
 }
 
 void CallGraph::onTraced(const std::string &Child, const std::string &Parent) {
@@ -60,10 +65,7 @@
 }
 
 void CallGraph::onCaller(const std::string &Child) {
-  Entry *Known = touch(Child);
-  if (Known != nullptr)
-    Known->Evidence_ =
-        std::max(Known->Evidence_ - CallerEvidence, -MostEvidence);
+  onCompared(Child, false, CallerChance);
 }
 
 bool CallGraph::isAtLimit(const std::string &Child, Micros Left) {
@@ -83,10 +85,14 @@
   auto Found = Routes_.find(Route);
   if (Found == Routes_.end())
     return RouteOrigin::Undecided;
-  if (Found->second.Evidence_ >= DecidingEvidence)
+  const Entry &Known = Found->second;
+  double Deviation = std::sqrt(Known.Variance_);
+  if (Known.Excess_ >= DecidingDeviations * Deviation &&
+      Known.Excess_ > CallersExcess * Known.Rest_)
     return RouteOrigin::Work;
-  return Found->second.Evidence_ <= -DecidingEvidence ? RouteOrigin::Callers
-                                                      : RouteOrigin::Undecided;
+  bool ByChance = Known.Excess_ + SparedDeviations * Deviation <
+                  CallersExcess * Known.Rest_;
+  return ByChance ? RouteOrigin::Callers : RouteOrigin::Undecided;
 }
 
 double CallGraph::strength(const std::string &Child,
--- a/tests/unit/overload_test.cpp
+++ b/tests/unit/overload_test.cpp
@@ -140,6 +140,21 @@
   CHECK(Graph.callsOf("parent") == std::vector<std::string>{"called"});
 }
 
+// A slow backend server takes longer than usual between its calls, so fewer of
+// them come at the expected moment, and on a busy VM many moments are expected.
+TEST(Overload, CallsOfSlowWorkAreTold) {
+  std::mt19937_64 Random(7);
+  CallGraph Graph;
+  for (int Round = 0; Round < 300; ++Round) {
+    Graph.onCompared("called", Random() % 100 < 72, 0.5);
+    Graph.onCompared("by-chance", Random() % 100 < 50, 0.5);
+    CHECK(Graph.origin("called") != RouteOrigin::Callers);
+    CHECK(Graph.origin("by-chance") != RouteOrigin::Work);
+  }
+  CHECK(Graph.origin("called") == RouteOrigin::Work);
+  CHECK(Graph.origin("by-chance") == RouteOrigin::Callers);
+}
+
 TEST(Overload, LimitOfCallsShowsAtTheTop) {
   CallGraph Graph;
   for (int Left : {640, 700, 700, 680, 700})
