--- a/src/engine/entry_system.cpp
+++ b/src/engine/entry_system.cpp
@@ -384,7 +384,10 @@
        {"route", Fresh.Route_},
        {"service", Fresh.Service_},
        {"settings", std::to_string(Rules ? Rules->Version_ : 0)},
-       {"from", Input.FromBackend_ ? "backend" : "caller"}});
+       {"from", Input.FromBackend_ ? "backend" : "caller"},
+       {"left", Fresh.Facts_.TimeLeft_
+                    ? std::to_string(Fresh.Facts_.TimeLeft_->count())
+                    : "none"}});
   if (std::optional<ErrorCode> Why = phaseRefusal(Node, Input)) {
     refuse(Node, Fresh, notRun(*Why, StartingRetryAfter),
            "node is not serving");
