--- a/include/fulmarshelf/detail/engine/node_state.hpp
+++ b/include/fulmarshelf/detail/engine/node_state.hpp
@@ -90,9 +90,11 @@
   std::uint64_t None_ = 0;      ///< of routes whose requests are calls
 };
 
-/// @brief How often work starts or gets an answer to one of its calls.
-struct WorkEvents {
-  double Rate_ = 0; ///< events per microsecond at At_, over the last second
+/// @brief Running work that started or got an answer a moment ago and may be
+/// about to make its next call.
+struct IdleWork {
+  double Mean_ = 0.5; ///< pieces of work at a time, over the last second; the
+                      ///< first value lets neither verdict come at once
   TimePoint At_;
 };
 
@@ -135,7 +137,7 @@
   RoomTable Room_;     ///< of the own failure domain
   CallGraph Graph_;
   ParentMatches ParentMatches_;
-  WorkEvents WorkEvents_;
+  IdleWork IdleWork_;
   std::multimap<TimePoint, WorkId> RunningEnds_; ///< as handed out
   AdmissionLevel ShortLevel_;
   AdmissionLevel LongLevel_; ///< for work whose route takes long
--- a/include/fulmarshelf/detail/engine/parent_search.hpp
+++ b/include/fulmarshelf/detail/engine/parent_search.hpp
@@ -7,7 +7,8 @@
 namespace fulmarshelf {
 
 /// @brief Finds the running work of this VM that made a call which names no
-/// parent: a call ends when its parent ends.
+/// parent: a call ends when its parent ends, or, where a limit of its own ends
+/// it sooner, comes just after its parent started or got an answer.
 ///
 /// Where several fit, work without an open call goes first, then work whose
 /// route made such calls most often, then the one that heard an answer last.
@@ -21,6 +22,8 @@
 /// @brief Keeps the index of ends while work runs.
 void noteRunning(NodeState &Node, Work &Target, Micros Handed);
 void forgetRunning(NodeState &Node, const Work &Target);
+/// @brief Work made a call.
+void noteCallStart(NodeState &Node, Work &Parent);
 /// @brief A matched call was answered.
 void noteCallEnd(NodeState &Node, const Request &Ended);
 
--- a/src/engine/entry_gate.cpp
+++ b/src/engine/entry_gate.cpp
@@ -24,7 +24,7 @@
   if (Parent == nullptr)
     return false;
   Fresh.MatchedParent_ = Parent->Id_;
-  ++Parent->OpenCalls_;
+  noteCallStart(Node, *Parent);
   const CallContext &Above = Parent->Context_;
   Fresh.Context_.Root_ = Above.Root_;
   Fresh.Context_.Depth_ = Above.Depth_ + 1;
--- a/src/engine/parent_search.cpp
+++ b/src/engine/parent_search.cpp
@@ -19,8 +19,8 @@
 constexpr Micros LeastToShorten = millis(100);
 // Between an answer and the next call, work does a slice of its own, which for
 // the short work that makes many calls takes a few milliseconds.
-constexpr Micros SoonAfter = millis(5);
-constexpr double EventMemoryMicros = 1e6;
+constexpr Micros SoonAfter = millis(10);
+constexpr double IdleMemoryMicros = 1e6;
 
 struct Choice {
   Work *Best_ = nullptr;
@@ -71,39 +71,33 @@
   return 1 - std::exp(-Covered / Span);
 }
 
-double eventRate(const NodeState &Node) {
-  auto Age = static_cast<double>((Node.Now_ - Node.WorkEvents_.At_).count());
-  return Node.WorkEvents_.Rate_ * std::exp(-Age / EventMemoryMicros);
+double idleMean(const NodeState &Node) {
+  auto Age = static_cast<double>((Node.Now_ - Node.IdleWork_.At_).count());
+  return Node.IdleWork_.Mean_ * std::exp(-Age / IdleMemoryMicros);
 }
 
-// Part of all moments that come soon after some work started or got an answer.
-double chanceOfSoonAfter(const NodeState &Node) {
-  return 1 -
-         std::exp(-eventRate(Node) * static_cast<double>(SoonAfter.count()));
+Micros idleFor(const NodeState &Node, const Work &Target) {
+  return Node.Now_ - Target.LastCallEnd_;
 }
 
-void noteEvent(NodeState &Node) {
-  Node.WorkEvents_.Rate_ = eventRate(Node) + 1 / EventMemoryMicros;
-  Node.WorkEvents_.At_ = Node.Now_;
+// Work that makes a call or ends is no longer about to make one.
+void noteIdleEnd(NodeState &Node, const Work &Target) {
+  if (Target.OpenCalls_ > 0)
+    return;
+  Micros Idle = std::min(SoonAfter, idleFor(Node, Target));
+  Node.IdleWork_.Mean_ =
+      idleMean(Node) + static_cast<double>(Idle.count()) / IdleMemoryMicros;
+  Node.IdleWork_.At_ = Node.Now_;
 }
 
-// A request at its own limit: its end says nothing, its moment does.
-Choice traceByMoment(NodeState &Node, const Request &Target) {
-  TimePoint End = Node.Now_ + *Target.Facts_.TimeLeft_;
-  Choice Made = chooseBetween(Node, Target, End, TimePoint::max());
-  bool Soon = Made.Best_ != nullptr && Made.Best_->OpenCalls_ == 0 &&
-              Node.Now_ - Made.Best_->LastCallEnd_ <= SoonAfter;
-  Node.Graph_.onCompared(Target.Route_, Soon, chanceOfSoonAfter(Node));
-  return Made;
+// Part of all moments at which some work is about to make a call.
+double chanceOfIdleWork(const NodeState &Node) {
+  return 1 - std::exp(-idleMean(Node));
 }
 
-Choice traceByEnd(NodeState &Node, const Request &Target) {
-  TimePoint End = Node.Now_ + *Target.Facts_.TimeLeft_;
-  Choice Made =
-      chooseBetween(Node, Target, End - EarlyTolerance, End + LateTolerance);
-  Node.Graph_.onCompared(Target.Route_, Made.Best_ != nullptr,
-                         chanceOfSameEnd(Node));
-  return Made;
+bool isAboutToCall(const NodeState &Node, const Choice &Made) {
+  return Made.Best_ != nullptr && Made.Best_->OpenCalls_ == 0 &&
+         idleFor(Node, *Made.Best_) <= SoonAfter;
 }
 
 void count(NodeState &Node, const Choice &Made) {
@@ -115,20 +109,45 @@
     ++Node.ParentMatches_.None_;
 }
 
+// The request's end is that of work, up to what the way there takes.
+Choice traceByEnd(NodeState &Node, const Request &Target, TimePoint End) {
+  Choice Made =
+      chooseBetween(Node, Target, End - EarlyTolerance, End + LateTolerance);
+  Node.Graph_.onEndCompared(Target.Route_, Made.Best_ != nullptr,
+                            chanceOfSameEnd(Node));
+  return Made;
+}
+
+// A request with a limit of its own: its end only says that the work ends
+// later.
+Choice traceByMoment(NodeState &Node, const Request &Target, TimePoint End) {
+  Choice Made =
+      chooseBetween(Node, Target, End - EarlyTolerance, TimePoint::max());
+  bool Soon = isAboutToCall(Node, Made);
+  Node.Graph_.onMomentCompared(Target.Route_, Soon, chanceOfIdleWork(Node));
+  if (!Soon && Node.Graph_.origin(Target.Route_) != RouteOrigin::Work)
+    return {};
+  return Made;
+}
+
+Choice trace(NodeState &Node, const Request &Target) {
+  TimePoint End = Node.Now_ + *Target.Facts_.TimeLeft_;
+  Choice Made = traceByEnd(Node, Target, End);
+  bool ByEnd = Made.Best_ != nullptr && Node.Graph_.endsTell(Target.Route_);
+  return ByEnd ? Made : traceByMoment(Node, Target, End);
+}
+
 } // namespace
 
 Work *findParentByDeadline(NodeState &Node, const Request &Target) {
   const std::string &Route = Target.Route_;
   if (!Target.Facts_.TimeLeft_)
     return nullptr;
-  Micros Left = *Target.Facts_.TimeLeft_;
-  bool AtLimit = Node.Graph_.isAtLimit(Route, Left);
-  if (Left > longestLeft(Node) + LateTolerance) {
+  if (*Target.Facts_.TimeLeft_ > longestLeft(Node) + LateTolerance) {
     Node.Graph_.onCaller(Route);
     return nullptr;
   }
-  Choice Made =
-      AtLimit ? traceByMoment(Node, Target) : traceByEnd(Node, Target);
+  Choice Made = trace(Node, Target);
   RouteOrigin Origin = Node.Graph_.origin(Route);
   if (Origin == RouteOrigin::Callers)
     return nullptr;
@@ -139,6 +158,11 @@
   return Made.Best_;
 }
 
+void noteCallStart(NodeState &Node, Work &Parent) {
+  noteIdleEnd(Node, Parent);
+  ++Parent.OpenCalls_;
+}
+
 Micros distinctTimeLeft(const NodeState &Node, const Work &Target) {
   Micros Left = std::max(millis(1), Target.Deadline_ - Node.Now_);
   Micros Whole = millis(Left.count() / 1000);
@@ -157,10 +181,10 @@
   Target.HandedEnd_ = Node.Now_ + Handed;
   Target.LastCallEnd_ = Node.Now_;
   Node.RunningEnds_.emplace(Target.HandedEnd_, Target.Id_);
-  noteEvent(Node);
 }
 
 void forgetRunning(NodeState &Node, const Work &Target) {
+  noteIdleEnd(Node, Target);
   auto Range = Node.RunningEnds_.equal_range(Target.HandedEnd_);
   for (auto Entry = Range.first; Entry != Range.second; ++Entry)
     if (Entry->second == Target.Id_) {
@@ -176,7 +200,6 @@
   Work &Parent = Found->second;
   Parent.OpenCalls_ -= std::min(Parent.OpenCalls_, 1U);
   Parent.LastCallEnd_ = Node.Now_;
-  noteEvent(Node);
 }
 
 } // namespace fulmarshelf
