--- a/include/fulmarshelf/detail/routing/owner_choice.hpp
+++ b/include/fulmarshelf/detail/routing/owner_choice.hpp
@@ -118,20 +118,27 @@
   double Probability_ = 1; ///< of the choice, by what had room
 };
 
+/// @brief When a call is worth sending to another failure domain.
+struct CrossingRule {
+  Micros Margin_{0};  ///< by which a candidate there has to be faster
+  Micros Comfort_{0}; ///< answers of the own domain within it are good enough
+  friend bool operator==(const CrossingRule &, const CrossingRule &) = default;
+};
+
 /// @brief Picks the candidate that answers first, where one in another failure
-/// domain has to be better by a margin: what crosses domains is paid for, and a
-/// server that is merely somewhat faster is not worth it.
+/// domain has to be better by a margin, and the own one not good enough: what
+/// crosses domains is paid for, and a server that is merely faster is not worth
+/// it.
 ///
 /// Load pattern: a failure domain whose one backend server is slow, full, cold
 /// or gone. Of what does not fit there, as much crosses over as fits elsewhere;
 /// when nothing fits anywhere nothing crosses. Of the candidates in other
 /// domains two random ones are looked at, so that not all entries run to the
 /// same.
-/// @param Margin by which a candidate in another domain has to be faster
 /// @return nullopt when there is no candidate
 std::optional<Placement>
-chooseByCompletion(const std::vector<Candidate> &Options, Micros Margin,
-                   std::mt19937_64 &Random);
+chooseByCompletion(const std::vector<Candidate> &Options,
+                   const CrossingRule &Rule, std::mt19937_64 &Random);
 
 } // namespace fulmarshelf
 
--- a/src/admission/demand_meter.cpp
+++ b/src/admission/demand_meter.cpp
@@ -74,7 +74,8 @@
   double Draining = static_cast<double>(Backlog.count()) / DrainMicros;
   double LeftForRoots =
       std::max(Slots * LeastUsableShare, Slots * UsableShare - Draining);
-  double LeftForPlaces = Slots * KeptShare;
+  double LeftForPlaces =
+      std::max(Slots * LeastUsableShare, Slots * KeptShare - Draining);
   for (std::size_t Level = ImportanceLevels; Level > 0; --Level) {
     std::size_t Index = Level - 1;
     Shares_.Admitted_[Index] = takeShare(Roots_.Mean_[Index], LeftForRoots);
--- a/src/engine/owner_search.cpp
+++ b/src/engine/owner_search.cpp
@@ -14,6 +14,9 @@
 // An owner in another failure domain has to be faster by the time of one call,
 // and at least by this part of the route's target, to be worth the crossing.
 constexpr double MarginOfTarget = 0.1;
+// An answer within half of the target leaves room for the usual spread of run
+// times, so a faster one gains its caller nothing.
+constexpr double ComfortOfTarget = 0.5;
 // A rare choice must not count for too many calls that were placed otherwise.
 constexpr double LeastCountedShare = 0.05;
 
@@ -122,6 +125,11 @@
 
 namespace {
 
+Micros partOf(Micros Whole, double Part) {
+  return Micros(
+      static_cast<Micros::rep>(Part * static_cast<double>(Whole.count())));
+}
+
 Micros fastestService(const std::vector<Candidate> &Options) {
   Micros Fastest{0};
   for (const Candidate &Option : Options)
@@ -168,10 +176,10 @@
   if (Options.empty())
     return std::nullopt;
   if (hasRouteTable(Node) && hasFullPolicy(Node)) {
-    Micros Margin(static_cast<Micros::rep>(
-        MarginOfTarget * static_cast<double>(Target.Target_.count())));
-    return chooseByCompletion(
-        Options, std::max(Margin, fastestService(Options)), Node.Random_);
+    CrossingRule Rule{std::max(partOf(Target.Target_, MarginOfTarget),
+                               fastestService(Options)),
+                      partOf(Target.Target_, ComfortOfTarget)};
+    return chooseByCompletion(Options, Rule, Node.Random_);
   }
   if (hasFullPolicy(Node))
     return Placement{*chooseOwner(Options, Node.Random_), 1};
--- a/src/routing/owner_choice.cpp
+++ b/src/routing/owner_choice.cpp
@@ -187,8 +187,8 @@
 } // namespace
 
 std::optional<Placement>
-chooseByCompletion(const std::vector<Candidate> &Options, Micros Margin,
-                   std::mt19937_64 &Random) {
+chooseByCompletion(const std::vector<Candidate> &Options,
+                   const CrossingRule &Rule, std::mt19937_64 &Random) {
   std::vector<std::size_t> Far;
   std::optional<std::size_t> Near;
   for (std::size_t Index = 0; Index < Options.size(); ++Index) {
@@ -203,8 +203,9 @@
   if (!Near || !Other)
     return Placement{Near ? *Near : *Other, 1};
   std::uniform_int_distribution<unsigned> Probe(0, CallsPerProbe - 1);
-  bool Faster = expectedCompletion(Options[*Other]) + Margin <
-                expectedCompletion(Options[*Near]);
+  Micros There = expectedCompletion(Options[*Other]);
+  Micros Here = expectedCompletion(Options[*Near]);
+  bool Faster = Here > Rule.Comfort_ && There + Rule.Margin_ < Here;
   if (Faster || Probe(Random) == 0)
     return Placement{*Other, 1};
   std::uniform_real_distribution<double> Draw(0, 1);
--- a/tests/unit/overload_test.cpp
+++ b/tests/unit/overload_test.cpp
@@ -40,13 +40,14 @@
 }
 
 // Part of many choices that fall on a candidate of another domain.
-double crossing(const std::vector<Candidate> &Options, Micros Margin) {
+double crossing(const std::vector<Candidate> &Options,
+                const CrossingRule &Rule) {
   std::mt19937_64 Random(3);
   int Crossed = 0;
   for (int Round = 0; Round < 10'000; ++Round)
-    Crossed +=
-        Options[chooseByCompletion(Options, Margin, Random)->Index_].Near_ ? 0
-                                                                           : 1;
+    Crossed += Options[chooseByCompletion(Options, Rule, Random)->Index_].Near_
+                   ? 0
+                   : 1;
   return Crossed / 10'000.0;
 }
 
@@ -177,28 +178,36 @@
   std::vector<Candidate> Options = {
       candidate("near", true, millis(43), millis(0), 1),
       candidate("far", false, millis(20), millis(0), 1)};
-  CHECK(crossing(Options, millis(30)) < 0.02);
+  CHECK(crossing(Options, {millis(30), millis(0)}) < 0.02);
 }
 
 TEST(Overload, SlowServerOfTheOwnDomainIsLeft) {
   std::vector<Candidate> Options = {
       candidate("near", true, millis(120), millis(0), 1),
       candidate("far", false, millis(30), millis(0), 1)};
-  CHECK(crossing(Options, millis(30)) == 1);
+  CHECK(crossing(Options, {millis(30), millis(0)}) == 1);
+}
+
+TEST(Overload, FasterServerIsNotWorthACrossingWhileTheNearOneIsGoodEnough) {
+  std::vector<Candidate> Options = {
+      candidate("near", true, millis(120), millis(0), 1),
+      candidate("far", false, millis(30), millis(0), 1)};
+  CHECK(crossing(Options, {millis(30), millis(150)}) < 0.02);
+  CHECK(crossing(Options, {millis(30), millis(100)}) == 1);
 }
 
 TEST(Overload, WhatDoesNotFitIsMovedAsFarAsOthersHaveRoom) {
   std::vector<Candidate> Options = {
       candidate("near", true, millis(30), millis(0), 0.6),
       candidate("far", false, millis(30), millis(0), 0.5)};
-  DOUBLES_EQUAL(0.2, crossing(Options, millis(30)), 0.03);
+  DOUBLES_EQUAL(0.2, crossing(Options, {millis(30), millis(0)}), 0.03);
 }
 
 TEST(Overload, NothingMovesWhereNobodyHasRoom) {
   std::vector<Candidate> Options = {
       candidate("near", true, millis(30), millis(0), 0.4),
       candidate("far", false, millis(30), millis(0), 0)};
-  CHECK(crossing(Options, millis(30)) < 0.02);
+  CHECK(crossing(Options, {millis(30), millis(0)}) < 0.02);
 }
 
 TEST(Overload, FewSlotsStayFreeAndALoweredLimitComesBack) {
