--- a/include/fulmarshelf/detail/wire/messages.hpp
+++ b/include/fulmarshelf/detail/wire/messages.hpp
@@ -112,8 +112,9 @@
   std::uint32_t Queued_ = 0;
   std::uint32_t Limit_ = 0;
   bool Leaving_ = false;
-  Micros Wait_{0};     ///< until a call that comes now would start
-  OwnerShares Shares_; ///< Admitted_ is that behind the answered route
+  Micros Wait_{0};           ///< until a call that comes now would start
+  std::uint8_t Failing_ = 0; ///< calls that fail there, in parts of FullShare
+  OwnerShares Shares_;       ///< Admitted_ is that behind the answered route
   friend bool operator==(const LoadReport &, const LoadReport &) = default;
 };
 
--- a/src/shell/peer_codec.cpp
+++ b/src/shell/peer_codec.cpp
@@ -1,6 +1,6 @@
 #include "fulmarshelf/detail/shell/peer_codec.hpp"
 
-#include <algorithm> // transform
+#include <algorithm> // min, transform
 #include <charconv>  // from_chars
 
 namespace fulmarshelf {
@@ -266,6 +266,8 @@
     add(Result, "fs-service", Reply.Service_);
   if (Reply.Load_.Wait_.count() > 0)
     add(Result, "fs-wait", Reply.Load_.Wait_);
+  if (Reply.Load_.Failing_ > 0)
+    add(Result, "fs-failing", std::uint64_t{Reply.Load_.Failing_});
   const OwnerShares &Shares = Reply.Load_.Shares_;
   if (Shares.Admitted_ != FullShares)
     add(Result, "fs-admitted", sharesText(Shares.Admitted_));
@@ -339,11 +341,14 @@
                   Fields.small("fs-limit"),
                   Fields.flag("fs-leaving"),
                   Micros(0),
+                  0,
                   {}};
   Result.Service_ =
       Micros(static_cast<Micros::rep>(Fields.optionalNumber("fs-service", 0)));
   Result.Load_.Wait_ =
       Micros(static_cast<Micros::rep>(Fields.optionalNumber("fs-wait", 0)));
+  Result.Load_.Failing_ = static_cast<std::uint8_t>(std::min<std::uint64_t>(
+      Fields.optionalNumber("fs-failing", 0), FullShare));
   readShares(Fields.optionalText("fs-admitted"),
              Result.Load_.Shares_.Admitted_);
   readShares(Fields.optionalText("fs-kept"), Result.Load_.Shares_.Kept_);
