--- a/include/fulmarshelf/detail/engine/node_state.hpp
+++ b/include/fulmarshelf/detail/engine/node_state.hpp
@@ -4,6 +4,7 @@
 #include "fulmarshelf/detail/admission/admission_gate.hpp"  // gate
 #include "fulmarshelf/detail/admission/admission_level.hpp" // level
 #include "fulmarshelf/detail/admission/demand_meter.hpp"    // demand
+#include "fulmarshelf/detail/admission/failure_meter.hpp"   // FailureMeter
 #include "fulmarshelf/detail/admission/room_table.hpp"      // RoomTable
 #include "fulmarshelf/detail/admission/work_limit.hpp"      // limit
 #include "fulmarshelf/detail/admission/work_queue.hpp"      // queue
@@ -132,9 +133,10 @@
   ServiceIndex Owners_;
   WorkQueue Queue_;
   WorkLimit Limit_;
-  DemandMeter Demand_; ///< of the own backend server
-  AdmissionGate Gate_; ///< for requests that enter here
-  RoomTable Room_;     ///< of the own failure domain
+  DemandMeter Demand_;    ///< of the own backend server
+  AdmissionGate Gate_;    ///< for requests that enter here
+  FailureMeter Failures_; ///< of the own backend server
+  RoomTable Room_;        ///< of the own failure domain
   CallGraph Graph_;
   ParentMatches ParentMatches_;
   IdleWork IdleWork_;
--- a/include/fulmarshelf/detail/routing/owner_choice.hpp
+++ b/include/fulmarshelf/detail/routing/owner_choice.hpp
@@ -44,6 +44,9 @@
   /// silences counted in; nullopt when it has not run there yet.
   std::optional<Micros> serviceTime(TimePoint Now,
                                     const std::string &Route) const;
+  /// @brief Share of calls that fail there by the server's own doing, as the
+  /// owner told lately.
+  double failing(TimePoint Now) const;
   /// @brief Share of a route's calls that there is room for, at the owner and
   /// behind it.
   /// @param Near whether the root of their chain is in its failure domain
--- a/src/engine/backend_system.cpp
+++ b/src/engine/backend_system.cpp
@@ -66,6 +66,7 @@
 // What was learned about the slots of one incarnation says nothing of the next.
 void startIncarnation(NodeState &Node) {
   Node.Limit_.restart();
+  Node.Failures_.restart();
   Node.Backend_.Departed_.clear();
   Node.Backend_.ReplacedUnseen_ = false;
 }
--- a/src/engine/owner_search.cpp
+++ b/src/engine/owner_search.cpp
@@ -17,6 +17,9 @@
 // An answer within half of the target leaves room for the usual spread of run
 // times, so a faster one gains its caller nothing.
 constexpr double ComfortOfTarget = 0.5;
+// A failed call loses its whole request, which is worse than any wait that is
+// still borne: so many targets of the route.
+constexpr double TargetsOfFailure = 4;
 // A rare choice must not count for too many calls that were placed otherwise.
 constexpr double LeastCountedShare = 0.05;
 
@@ -41,16 +44,25 @@
   return static_cast<double>(Distance.count()) / Unit;
 }
 
+Micros partOf(Micros Whole, double Part) {
+  return Micros(
+      static_cast<Micros::rep>(Part * static_cast<double>(Whole.count())));
+}
+
 // Fills in what the owner is expected to take; one that has not run the route
-// yet counts as fast as the fastest known.
+// yet counts as usual.
 void estimate(NodeState &Node, const Request &Target, const OwnerView &View,
               Candidate &Result) {
   if (!hasRouteTable(Node))
     return;
   std::optional<Micros> Known = View.serviceTime(Node.Now_, Target.Route_);
-  Result.Service_ = Known.value_or(Micros(0));
+  Result.Service_ = Known.value_or(Node.CallTimes_.expected(Target.Route_));
   Result.Wait_ = View.expectedWait(
       Node.Now_, importanceOf(Target.Context_.Rank_), Result.Service_);
+  double Failing = Result.Node_ == ownName(Node)
+                       ? Node.Failures_.share(Node.Now_)
+                       : View.failing(Node.Now_);
+  Result.Service_ += partOf(Target.Target_, TargetsOfFailure * Failing);
 }
 
 // A call whose root was moved or kept by the share of its chain is one of those
@@ -125,11 +137,6 @@
 
 namespace {
 
-Micros partOf(Micros Whole, double Part) {
-  return Micros(
-      static_cast<Micros::rep>(Part * static_cast<double>(Whole.count())));
-}
-
 Micros fastestService(const std::vector<Candidate> &Options) {
   Micros Fastest{0};
   for (const Candidate &Option : Options)
--- a/src/engine/owner_system.cpp
+++ b/src/engine/owner_system.cpp
@@ -5,6 +5,7 @@
 #include "work_slots.hpp"                              // evict, stopRunning
 
 #include <algorithm> // max, min
+#include <cmath>     // lround
 
 namespace fulmarshelf::owner_system {
 
@@ -16,6 +17,8 @@
 constexpr std::uint16_t FirstFailureStatus = 500;
 constexpr Micros SuspectTime = millis(200);
 constexpr Micros MaxRetryAfter = millis(5000);
+constexpr double FailureLoss = 2;
+constexpr double LeastUse = 0.1;
 
 void tellWaiters(NodeState &Node, Work &Ended, const CallReply &Reply) {
   for (const StreamKey &Stream : Ended.RevokeWaiters_) {
@@ -44,6 +47,8 @@
   if (!hasRouteTable(Node))
     return;
   Report.Shares_ = sharesBehind(Node, Route);
+  Report.Failing_ = static_cast<std::uint8_t>(
+      std::lround(FullShare * Node.Failures_.share(Node.Now_)));
   Report.Wait_ =
       Node.Running_ < Node.Limit_.limit()
           ? Micros(0)
@@ -57,6 +62,13 @@
   return Report;
 }
 
+// A call that fails takes its whole request along, and most requests need
+// several, so the use of a server falls faster than its share of good answers.
+double usefulSlots(const NodeState &Node) {
+  double Use = 1 - FailureLoss * Node.Failures_.share(Node.Now_);
+  return Node.Limit_.limit() * std::max(LeastUse, Use);
+}
+
 void measureDemand(NodeState &Node, const Work &Fresh) {
   if (!hasRouteTable(Node))
     return;
@@ -64,7 +76,7 @@
   const CallContext &Context = Fresh.Context_;
   Node.Demand_.onArrival({importanceOf(Context.Rank_), Holding, Context.Weight_,
                           Context.PlaceWeight_, Context.Near_});
-  if (!Node.Demand_.update(Node.Now_, Node.Limit_.limit(),
+  if (!Node.Demand_.update(Node.Now_, usefulSlots(Node),
                            Node.Queue_.predictedWait(0, 1)))
     return;
   log(Node, EventNumber::DemandMeasured,
@@ -308,6 +320,10 @@
     Node.Limit_.onAnswer(Node.Now_, Took,
                          Node.WorkTimes_.shortest(Target.Route_), InFlight);
   }
+  bool OwnFailure = Response.Status_ >= FirstFailureStatus &&
+                    !Node.Graph_.hasCalls(Target.Route_);
+  if (!Input.Facts_.OtherInstance_)
+    Node.Failures_.onEnded(Node.Now_, Shed || OwnFailure);
   act(Node, Observe{Measure::ServiceTime, Took});
   log(Node, EventNumber::WorkFinished,
       {{"work", toString(Id)},
@@ -337,6 +353,7 @@
     return;
   freeSlot(Node, Found->second);
   Node.Limit_.onOverload(Node.Now_, Node.Running_ + 1);
+  Node.Failures_.onEnded(Node.Now_, true);
   if (NeverSent)
     Node.Backend_.SuspectUntil_ = Node.Now_ + SuspectTime;
   log(Node, EventNumber::WorkFinished,
--- a/src/routing/owner_choice.cpp
+++ b/src/routing/owner_choice.cpp
@@ -107,6 +107,12 @@
          FullShare;
 }
 
+double OwnerView::failing(TimePoint Now) const {
+  return Now - ReportedAt_ > WaitLifetime
+             ? 0
+             : static_cast<double>(Report_.Failing_) / FullShare;
+}
+
 Micros OwnerView::expectedWait(TimePoint Now, unsigned Importance,
                                Micros Service) const {
   std::size_t Level = std::min<std::size_t>(Importance, ImportanceLevels - 1);
--- a/tests/unit/overload_test.cpp
+++ b/tests/unit/overload_test.cpp
@@ -1,5 +1,6 @@
 #include "fulmarshelf/detail/admission/admission_gate.hpp" // AdmissionGate
 #include "fulmarshelf/detail/admission/demand_meter.hpp"   // DemandMeter
+#include "fulmarshelf/detail/admission/failure_meter.hpp"  // FailureMeter
 #include "fulmarshelf/detail/admission/work_limit.hpp"     // WorkLimit
 #include "fulmarshelf/detail/retry/repeat_window.hpp"      // RepeatWindow
 #include "fulmarshelf/detail/routing/call_graph.hpp"       // CallGraph
@@ -203,6 +204,23 @@
   DOUBLES_EQUAL(0.2, crossing(Options, {millis(30), millis(0)}), 0.03);
 }
 
+// A server that turns away nearly half of its calls at once is told from one
+// that fails now and then, and is tried again when nothing was sent for a
+// while.
+TEST(Overload, FailuresOfAServerAreTold) {
+  FailureMeter Grey;
+  FailureMeter Usual;
+  for (int Call = 0; Call < 60; ++Call) {
+    Now_ += millis(10);
+    Grey.onEnded(Now_, Call % 20 < 9);
+    Usual.onEnded(Now_, Call == 30);
+  }
+  CHECK(Grey.share(Now_) > 0.25);
+  CHECK(Grey.share(Now_) < 0.65);
+  CHECK(Usual.share(Now_) == 0);
+  CHECK(Grey.share(Now_ + millis(10'000)) == 0);
+}
+
 TEST(Overload, NothingMovesWhereNobodyHasRoom) {
   std::vector<Candidate> Options = {
       candidate("near", true, millis(30), millis(0), 0.4),
