--- a/include/fulmarshelf/detail/admission/failure_meter.hpp
+++ b/include/fulmarshelf/detail/admission/failure_meter.hpp
@@ -10,7 +10,7 @@
 /// Load pattern: a server that fails a part of its calls at once while it says
 /// that it is well. It looks fast and empty and draws work, and a request that
 /// needs many calls hardly ever gets through. So its share of failures counts
-/// in the choice of owners and in what is let in behind it.
+/// in the choice of owners.
 class FailureMeter {
 public:
   /// @brief A call ended by the server's own doing.
--- a/src/engine/owner_system.cpp
+++ b/src/engine/owner_system.cpp
@@ -17,8 +17,6 @@
 constexpr std::uint16_t FirstFailureStatus = 500;
 constexpr Micros SuspectTime = millis(200);
 constexpr Micros MaxRetryAfter = millis(5000);
-constexpr double FailureLoss = 2;
-constexpr double LeastUse = 0.1;
 
 void tellWaiters(NodeState &Node, Work &Ended, const CallReply &Reply) {
   for (const StreamKey &Stream : Ended.RevokeWaiters_) {
@@ -62,13 +60,6 @@
   return Report;
 }
 
-// A call that fails takes its whole request along, and most requests need
-// several, so the use of a server falls faster than its share of good answers.
-double usefulSlots(const NodeState &Node) {
-  double Use = 1 - FailureLoss * Node.Failures_.share(Node.Now_);
-  return Node.Limit_.limit() * std::max(LeastUse, Use);
-}
-
 void measureDemand(NodeState &Node, const Work &Fresh) {
   if (!hasRouteTable(Node))
     return;
@@ -76,7 +67,7 @@
   const CallContext &Context = Fresh.Context_;
   Node.Demand_.onArrival({importanceOf(Context.Rank_), Holding, Context.Weight_,
                           Context.PlaceWeight_, Context.Near_});
-  if (!Node.Demand_.update(Node.Now_, usefulSlots(Node),
+  if (!Node.Demand_.update(Node.Now_, Node.Limit_.limit(),
                            Node.Queue_.predictedWait(0, 1)))
     return;
   log(Node, EventNumber::DemandMeasured,
