--- a/src/routing/call_graph.cpp
+++ b/src/routing/call_graph.cpp
@@ -83,11 +83,10 @@
 std::vector<std::string> CallGraph::callsOf(const std::string &Parent) const {
   std::vector<std::string> Result;
   for (const std::pair<const std::string, Entry> &Item : Routes_) {
-    if (origin(Item.first) != RouteOrigin::Work)
-      continue;
     auto Edge = Item.second.Parents_.find(Parent);
-    if (Edge != Item.second.Parents_.end() &&
-        Edge->second >= ChanceShare * Item.second.Traced_)
+    bool IsEdge = Edge != Item.second.Parents_.end() &&
+                  Edge->second >= ChanceShare * Item.second.Traced_;
+    if (IsEdge && origin(Item.first) == RouteOrigin::Work)
       Result.push_back(Item.first);
   }
   return Result;
--- a/tests/failure/test_harness.py
+++ b/tests/failure/test_harness.py
@@ -3,6 +3,7 @@
 import socket
 
 from harness import Mesh, run_tests
+from mesh import PORT_OFFSET
 
 
 class FaultyMesh(Mesh):
@@ -31,7 +32,7 @@
 
 def taken_port_is_said(checker, directory):
     with socket.socket() as other:
-        other.bind(("127.0.0.1", 19200))
+        other.bind(("127.0.0.1", 19200 + PORT_OFFSET))
         other.listen()
         try:
             Mesh("kwan", directory, base_port=19200).start()
--- a/tools/mesh.py
+++ b/tools/mesh.py
@@ -16,6 +16,10 @@
 BUILD = pathlib.Path(os.environ.get("FULMARSHELF_BUILD", ROOT / "build"))
 
 
+# Two runs of the tests at a time need ports of their own.
+PORT_OFFSET = int(os.environ.get("FULMARSHELF_PORT_OFFSET", "0"))
+
+
 def http(method, address, target, body=None, headers=None, timeout=5.0):
     """One HTTP call; returns (status, headers, text), status 0 on no answer."""
     request = urllib.request.Request(
@@ -147,6 +151,7 @@
         regions=1,
         backends=True,
     ):
+        base_port += PORT_OFFSET
         self.directory = pathlib.Path(directory)
         self.directory.mkdir(parents=True, exist_ok=True)
         self.deployment = deployment
--- a/tools/route_mesh.py
+++ b/tools/route_mesh.py
@@ -5,7 +5,7 @@
 import pathlib
 import sys
 
-from mesh import Mesh, http
+from mesh import PORT_OFFSET, Mesh, http
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "platform"))
 from platform_config import config_document, config_path, request_headers  # noqa: E402
@@ -24,7 +24,7 @@
         self.apart = apart
         self.slots = slots
         self.run_ms = run_ms
-        self.second = f"127.0.0.1:{base_port + 1}"
+        self.second = f"127.0.0.1:{base_port + PORT_OFFSET + 1}"
         self.version = 0
 
     def platform_command(self):
