--- a/include/fulmarshelf/detail/admission/admission_gate.hpp
+++ b/include/fulmarshelf/detail/admission/admission_gate.hpp
@@ -32,11 +32,19 @@
   };
 
   /// @brief Decides on a fresh request. Of any number of requests of one route
-  /// and importance just the share is let in, with no runs of luck.
-  Verdict decide(TimePoint Now, const std::string &Route, unsigned Importance);
+  /// and importance just the share is let in, with no runs of luck; the first
+  /// one is let in by shares of a half and more.
+  /// @param Elsewhere part of what does not fit that other failure domains have
+  /// room for
+  Verdict decide(TimePoint Now, const std::string &Route, unsigned Importance,
+                 double Elsewhere);
 
 private:
-  using Credits = std::array<double, ImportanceLevels>;
+  // Left over of the shares of the requests so far.
+  struct Credits {
+    Credits() { Left_.fill(0.5); }
+    std::array<double, ImportanceLevels> Left_{};
+  };
 
   ShareTable Told_;
   std::unordered_map<std::string, Credits> Credits_; ///< of routes in Told_
