Reverted: the gate counts room in other failure domains

Tried: of what does not fit by the near owner's word, the gate let in the part that owners in other domains had told room for. The room told is that of the little that is moved now, not of what would come.

--- a/include/fulmarshelf/detail/admission/admission_gate.hpp
+++ b/include/fulmarshelf/detail/admission/admission_gate.hpp
@@ -32,19 +32,11 @@
   };
 
   /// @brief Decides on a fresh request. Of any number of requests of one route
-  /// and importance just the share is let in, with no runs of luck; the first
-  /// one is let in by shares of a half and more.
-  /// @param Elsewhere part of what does not fit that other failure domains have
-  /// room for
-  Verdict decide(TimePoint Now, const std::string &Route, unsigned Importance,
-                 double Elsewhere);
+  /// and importance just the share is let in, with no runs of luck.
+  Verdict decide(TimePoint Now, const std::string &Route, unsigned Importance);
 
 private:
-  // Left over of the shares of the requests so far.
-  struct Credits {
-    Credits() { Left_.fill(0.5); }
-    std::array<double, ImportanceLevels> Left_{};
-  };
+  using Credits = std::array<double, ImportanceLevels>;
 
   ShareTable Told_;
   std::unordered_map<std::string, Credits> Credits_; ///< of routes in Told_
--- a/include/fulmarshelf/detail/engine/owner_search.hpp
+++ b/include/fulmarshelf/detail/engine/owner_search.hpp
@@ -24,10 +24,6 @@
 /// O(owners looked at)
 OwnerOptions findOwners(NodeState &Node, const Request &Target);
 
-/// @brief Part of a request's kind that owners in other failure domains have
-/// room for, by what they told lately; 0 when none did. O(owners)
-double roomElsewhere(NodeState &Node, const Request &Target);
-
 /// @brief Notes on a request what its placement says about those that were
 /// placed otherwise, for the meters of the owners.
 void notePlacement(NodeState &Node, Request &Target,
--- a/include/fulmarshelf/detail/routing/owner_choice.hpp
+++ b/include/fulmarshelf/detail/routing/owner_choice.hpp
@@ -47,8 +47,6 @@
   /// @brief Share of calls that fail there by the server's own doing, as the
   /// owner told lately.
   double failing(TimePoint Now) const;
-  /// @brief True when the owner told of a route lately.
-  bool hasTold(TimePoint Now, const std::string &Route) const;
   /// @brief Share of a route's calls that there is room for, at the owner and
   /// behind it.
   /// @param Near whether the root of their chain is in its failure domain
--- a/src/admission/admission_gate.cpp
+++ b/src/admission/admission_gate.cpp
@@ -16,14 +16,12 @@
 
 AdmissionGate::Verdict AdmissionGate::decide(TimePoint Now,
                                              const std::string &Route,
-                                             unsigned Importance,
-                                             double Elsewhere) {
+                                             unsigned Importance) {
   if (!Told_.contains(Route))
     return {};
   std::size_t Level = std::min<std::size_t>(Importance, ImportanceLevels - 1);
-  double Here = Told_.share(Now, Route, Level);
-  double Share = Here + (1 - Here) * Elsewhere;
-  double &Credit = Credits_[Route].Left_[Level];
+  double Share = Told_.share(Now, Route, Level);
+  double &Credit = Credits_[Route][Level];
   Credit += Share;
   bool Admitted = Credit >= 1;
   if (Admitted)
--- a/src/engine/entry_gate.cpp
+++ b/src/engine/entry_gate.cpp
@@ -1,7 +1,6 @@
 #include "entry_gate.hpp"
 
 #include "fulmarshelf/detail/engine/answers.hpp"       // notRun
-#include "fulmarshelf/detail/engine/owner_search.hpp"  // roomElsewhere
 #include "fulmarshelf/detail/engine/parent_search.hpp" // findParentByDeadline
 
 #include <algorithm> // max
@@ -63,8 +62,8 @@
   if (inheritByDeadline(Node, Fresh) ||
       Node.Graph_.origin(Fresh.Route_) != RouteOrigin::Callers)
     return std::nullopt;
-  AdmissionGate::Verdict Verdict = Node.Gate_.decide(
-      Node.Now_, Fresh.Route_, Rules.Importance_, roomElsewhere(Node, Fresh));
+  AdmissionGate::Verdict Verdict =
+      Node.Gate_.decide(Node.Now_, Fresh.Route_, Rules.Importance_);
   if (!Verdict.Admitted_)
     return GateRefusal{notRun(ErrorCode::Shed, gateRetryAfter(Node, Rules)),
                        "share " + std::to_string(Verdict.Share_) +
--- a/src/engine/owner_search.cpp
+++ b/src/engine/owner_search.cpp
@@ -162,23 +162,6 @@
   return Options;
 }
 
-double roomElsewhere(NodeState &Node, const Request &Target) {
-  double Most = 0;
-  const ServiceOwners Owners =
-      Node.Owners_.owners(Node.Membership_, Target.Service_);
-  for (const Member &Owner : Owners.Preferred_) {
-    const OwnerView &View = Node.Peers_[Owner.Node_].Owner_;
-    bool Told = wayTo(Node, Owner) > Micros(0) &&
-                View.hasTold(Node.Now_, Target.Route_) &&
-                !View.isLeaving(Node.Now_);
-    if (Told)
-      Most = std::max(Most,
-                      View.share(Node.Now_, Target.Route_,
-                                 importanceOf(Target.Context_.Rank_), false));
-  }
-  return Most;
-}
-
 void notePlacement(NodeState &Node, Request &Target,
                    const std::vector<Candidate> &Options,
                    const Placement &Picked) {
--- a/src/routing/owner_choice.cpp
+++ b/src/routing/owner_choice.cpp
@@ -95,16 +95,12 @@
       static_cast<double>(Found->second.count()) * slowness(Now)));
 }
 
-bool OwnerView::hasTold(TimePoint Now, const std::string &Route) const {
-  auto Found = Levels_.find(Route);
-  return Found != Levels_.end() && Now - Found->second.Heard_ <= LevelLifetime;
-}
-
 double OwnerView::share(TimePoint Now, const std::string &Route,
                         unsigned Importance, bool Near) const {
-  if (!hasTold(Now, Route))
+  auto Found = Levels_.find(Route);
+  if (Found == Levels_.end() || Now - Found->second.Heard_ > LevelLifetime)
     return 1;
-  const OwnerShares &Shares = Levels_.at(Route).Shares_;
+  const OwnerShares &Shares = Found->second.Shares_;
   const AdmittedShares &Told = Near ? Shares.Kept_ : Shares.Foreign_;
   return static_cast<double>(
              Told[std::min<std::size_t>(Importance, ImportanceLevels - 1)]) /
