--- a/include/fulmarshelf/detail/admission/admission_gate.hpp
+++ b/include/fulmarshelf/detail/admission/admission_gate.hpp
@@ -33,10 +33,16 @@
 
   /// @brief Decides on a fresh request. Of any number of requests of one route
   /// and importance just the share is let in, with no runs of luck.
+  /// While the share is full, what was left over before is forgotten, and one
+  /// that falls short of it for a moment refuses nobody.
   Verdict decide(TimePoint Now, const std::string &Route, unsigned Importance);
 
 private:
-  using Credits = std::array<double, ImportanceLevels>;
+  // Left over of the shares of the requests so far.
+  struct Credits {
+    Credits();
+    std::array<double, ImportanceLevels> Left_{};
+  };
 
   ShareTable Told_;
   std::unordered_map<std::string, Credits> Credits_; ///< of routes in Told_
--- a/include/fulmarshelf/detail/engine/owner_search.hpp
+++ b/include/fulmarshelf/detail/engine/owner_search.hpp
@@ -24,6 +24,10 @@
 /// O(owners looked at)
 OwnerOptions findOwners(NodeState &Node, const Request &Target);
 
+/// @brief True when an owner in another failure domain is known to have room
+/// for a request that the own domain would shed. O(owners)
+bool hasRoomElsewhere(NodeState &Node, const Request &Target);
+
 /// @brief Notes on a request what its placement says about those that were
 /// placed otherwise, for the meters of the owners.
 void notePlacement(NodeState &Node, Request &Target,
--- a/include/fulmarshelf/detail/routing/owner_choice.hpp
+++ b/include/fulmarshelf/detail/routing/owner_choice.hpp
@@ -47,6 +47,10 @@
   /// @brief Share of calls that fail there by the server's own doing, as the
   /// owner told lately.
   double failing(TimePoint Now) const;
+  /// @brief True when the owner said lately that it and all behind it admit
+  /// every request of a route and importance, and has slots to spare.
+  bool hasRoom(TimePoint Now, const std::string &Route,
+               unsigned Importance) const;
   /// @brief Share of a route's calls that there is room for, at the owner and
   /// behind it.
   /// @param Near whether the root of their chain is in its failure domain
--- a/src/admission/admission_gate.cpp
+++ b/src/admission/admission_gate.cpp
@@ -1,9 +1,18 @@
 #include "fulmarshelf/detail/admission/admission_gate.hpp"
 
-#include <algorithm> // min
+#include <algorithm> // max, min
 
 namespace fulmarshelf {
 
+namespace {
+
+// Half way between letting the next request in and refusing it.
+constexpr double FirstCredit = 0.5;
+
+} // namespace
+
+AdmissionGate::Credits::Credits() { Left_.fill(FirstCredit); }
+
 void AdmissionGate::learn(TimePoint Now, const std::string &Route,
                           const AdmittedShares &Told) {
   Told_.learn(Now, Route, Told);
@@ -21,7 +30,9 @@
     return {};
   std::size_t Level = std::min<std::size_t>(Importance, ImportanceLevels - 1);
   double Share = Told_.share(Now, Route, Level);
-  double &Credit = Credits_[Route][Level];
+  double &Credit = Credits_[Route].Left_[Level];
+  if (Share >= 1)
+    Credit = std::max(Credit, FirstCredit);
   Credit += Share;
   bool Admitted = Credit >= 1;
   if (Admitted)
--- a/src/engine/entry_gate.cpp
+++ b/src/engine/entry_gate.cpp
@@ -1,6 +1,7 @@
 #include "entry_gate.hpp"
 
 #include "fulmarshelf/detail/engine/answers.hpp"       // notRun
+#include "fulmarshelf/detail/engine/owner_search.hpp"  // hasRoomElsewhere
 #include "fulmarshelf/detail/engine/parent_search.hpp" // findParentByDeadline
 
 #include <algorithm> // max
@@ -64,7 +65,7 @@
     return std::nullopt;
   AdmissionGate::Verdict Verdict =
       Node.Gate_.decide(Node.Now_, Fresh.Route_, Rules.Importance_);
-  if (!Verdict.Admitted_)
+  if (!Verdict.Admitted_ && !hasRoomElsewhere(Node, Fresh))
     return GateRefusal{notRun(ErrorCode::Shed, gateRetryAfter(Node, Rules)),
                        "share " + std::to_string(Verdict.Share_) +
                            " of route " + Fresh.Route_ + " is used up"};
--- a/src/engine/owner_search.cpp
+++ b/src/engine/owner_search.cpp
@@ -162,6 +162,19 @@
   return Options;
 }
 
+bool hasRoomElsewhere(NodeState &Node, const Request &Target) {
+  unsigned Importance = importanceOf(Target.Context_.Rank_);
+  const ServiceOwners Owners =
+      Node.Owners_.owners(Node.Membership_, Target.Service_);
+  for (const Member &Owner : Owners.Preferred_) {
+    const OwnerView &View = Node.Peers_[Owner.Node_].Owner_;
+    if (wayTo(Node, Owner) > Micros(0) &&
+        View.hasRoom(Node.Now_, Target.Route_, Importance))
+      return true;
+  }
+  return false;
+}
+
 void notePlacement(NodeState &Node, Request &Target,
                    const std::vector<Candidate> &Options,
                    const Placement &Picked) {
--- a/src/routing/owner_choice.cpp
+++ b/src/routing/owner_choice.cpp
@@ -18,6 +18,9 @@
 constexpr Micros LeavingLifetime = millis(3000);
 constexpr Micros ProbeInterval = millis(50);
 constexpr std::size_t MaxLevels = 256;
+// Below this part of its limit an owner takes a request of another domain
+// without a queue, also while several entries send some at a time.
+constexpr double SpareSlots = 0.7;
 // Of about 20 calls the mean is known to a tenth for the usual spread of work.
 constexpr double ServiceWeight = 0.1;
 // What an owner said of its queue is outdated when its queue has run empty.
@@ -95,6 +98,17 @@
       static_cast<double>(Found->second.count()) * slowness(Now)));
 }
 
+bool OwnerView::hasRoom(TimePoint Now, const std::string &Route,
+                        unsigned Importance) const {
+  auto Found = Levels_.find(Route);
+  if (Found == Levels_.end() || Now - Found->second.Heard_ > LevelLifetime)
+    return false;
+  std::size_t Level = std::min<std::size_t>(Importance, ImportanceLevels - 1);
+  unsigned There = Report_.InFlight_ + Report_.Queued_ + SentSinceReport_;
+  return Found->second.Shares_.Admitted_[Level] == FullShare &&
+         There < SpareSlots * Report_.Limit_ && !isLeaving(Now);
+}
+
 double OwnerView::share(TimePoint Now, const std::string &Route,
                         unsigned Importance, bool Near) const {
   auto Found = Levels_.find(Route);
--- a/tests/unit/overload_test.cpp
+++ b/tests/unit/overload_test.cpp
@@ -221,6 +221,18 @@
   CHECK(Grey.share(Now_ + millis(10'000)) == 0);
 }
 
+// A share that falls short of the full one for a moment refuses nobody.
+TEST(Overload, GateForgivesAShortDip) {
+  AdmissionGate Gate;
+  AdmittedShares Dip = FullShares;
+  Dip[7] = 250;
+  for (int Round = 0; Round < 20; ++Round) {
+    Now_ += millis(10);
+    Gate.learn(Now_, "r", Dip);
+    CHECK(Gate.decide(Now_, "r", 7).Admitted_);
+  }
+}
+
 TEST(Overload, NothingMovesWhereNobodyHasRoom) {
   std::vector<Candidate> Options = {
       candidate("near", true, millis(30), millis(0), 0.4),
--- a/tests/unit/room_test.cpp
+++ b/tests/unit/room_test.cpp
@@ -140,6 +140,28 @@
   LONGS_EQUAL(0, Node_.Room_.kept(Node_.Now_, FrontRoute)[Importance]);
 }
 
+// Only what an owner elsewhere said itself, and lately, keeps a request from
+// being shed.
+TEST(Room, ElsewhereIsWhatOwnersThereSaid) {
+  Request Fresh = request();
+  CHECK_FALSE(hasRoomElsewhere(Node_, Fresh));
+  tell("near", report(FullShare, FullShare));
+  CHECK_FALSE(hasRoomElsewhere(Node_, Fresh));
+  tell("far", report(FullShare, FullShare));
+  CHECK(hasRoomElsewhere(Node_, Fresh));
+  LoadReport Busy = report(FullShare, FullShare);
+  Busy.InFlight_ = 8;
+  tell("far", Busy);
+  CHECK_FALSE(hasRoomElsewhere(Node_, Fresh));
+  LoadReport Shedding = report(FullShare, FullShare);
+  Shedding.Shares_.Admitted_[Importance] = 250;
+  tell("far", Shedding);
+  CHECK_FALSE(hasRoomElsewhere(Node_, Fresh));
+  tell("far", report(FullShare, FullShare));
+  Node_.Now_ += millis(3000);
+  CHECK_FALSE(hasRoomElsewhere(Node_, Fresh));
+}
+
 TEST(Room, ServerThatFailsCallsIsLeft) {
   LoadReport Failing = report(FullShare, FullShare);
   Failing.Failing_ = 115;
