Failed answers have an event of their own, of which fewer lines are left out

Change: event 1007 request-failed, with the route and the backend server's status; it counts with refusals and changes. Unit test: a second full of ordinary lines leaves out none about a failure.

--- a/include/fulmarshelf/detail/base/event_log.hpp
+++ b/include/fulmarshelf/detail/base/event_log.hpp
@@ -17,6 +17,7 @@
   RequestJoined = 1004,
   RequestCancelled = 1005,
   CallMatched = 1006,
+  RequestFailed = 1007,
   OwnerChosen = 1101,
   NoOwnerAccepts = 1102,
   RetryStarted = 1103,
--- a/src/base/event_log.cpp
+++ b/src/base/event_log.cpp
@@ -11,13 +11,14 @@
   std::string_view Name_;
 };
 
-constexpr std::array<NamedEvent, 56> EventNames = {{
+constexpr std::array<NamedEvent, 57> EventNames = {{
     {EventNumber::RequestReceived, "request-received"},
     {EventNumber::RequestAnswered, "request-answered"},
     {EventNumber::RequestRefused, "request-refused"},
     {EventNumber::RequestJoined, "request-joined"},
     {EventNumber::RequestCancelled, "request-cancelled"},
     {EventNumber::CallMatched, "call-matched"},
+    {EventNumber::RequestFailed, "request-failed"},
     {EventNumber::OwnerChosen, "owner-chosen"},
     {EventNumber::NoOwnerAccepts, "no-owner-accepts"},
     {EventNumber::RetryStarted, "retry-started"},
--- a/src/engine/answer_system.cpp
+++ b/src/engine/answer_system.cpp
@@ -7,6 +7,16 @@
 
 namespace {
 
+constexpr std::uint16_t FirstFailureStatus = 500;
+
+// Failures have a line of their own, of which fewer are left out.
+EventNumber answerEvent(const CallReply &Reply) {
+  bool Complete = Reply.Outcome_ == Outcome::Complete;
+  bool Failed = Complete ? Reply.Response_.Status_ >= FirstFailureStatus
+                         : Reply.Error_ != ErrorCode::Cancelled;
+  return Failed ? EventNumber::RequestFailed : EventNumber::RequestAnswered;
+}
+
 constexpr Rank CommittedBit = 1U << RankHashBits;
 
 // Level of a called service in the terms of the calling route. A fresh request
@@ -97,9 +107,13 @@
   Request &Target = Found->second;
   attempt_system::abandon(Node, Target);
   Reply.TokensLeft_ = Target.Context_.Tokens_;
-  log(Node, EventNumber::RequestAnswered,
+  log(Node, answerEvent(Reply),
       {{"request", std::to_string(Id.Value_)},
        {"id", Target.Facts_.CallerRequestId_},
+       {"route", Target.Route_},
+       {"status", Reply.Outcome_ == Outcome::Complete
+                      ? std::to_string(Reply.Response_.Status_)
+                      : std::string("own")},
        {"root", Target.Context_.Root_},
        {"outcome", std::string(outcomeName(Reply.Outcome_))},
        {"error", Reply.Outcome_ == Outcome::Complete
--- a/src/shell/event_writer.cpp
+++ b/src/shell/event_writer.cpp
@@ -104,6 +104,7 @@
 bool isImportant(EventNumber Event) {
   switch (Event) {
   case EventNumber::RequestRefused:
+  case EventNumber::RequestFailed:
   case EventNumber::NoOwnerAccepts:
   case EventNumber::RetryStarted:
   case EventNumber::RetryDenied:
--- a/tests/unit/events_test.cpp
+++ b/tests/unit/events_test.cpp
@@ -1,6 +1,7 @@
 #include "fulmarshelf/detail/base/error.hpp"             // errorName
 #include "fulmarshelf/detail/base/event_log.hpp"         // allEvents
 #include "fulmarshelf/detail/settings/node_settings.hpp" // readTextFile
+#include "fulmarshelf/detail/shell/event_writer.hpp"     // LineBudget
 
 #include <regex> // regex
 
@@ -54,3 +55,15 @@
   Record = makeRecord(EventNumber::LinkUp, {{"a", ""}, {"b", "two words"}});
   STRCMP_EQUAL("b=\"two words\"", Record.Text_.c_str());
 }
+
+// A second full of ordinary lines leaves out none about a failure.
+TEST(Catalogues, FailuresKeepTheirLines) {
+  LineBudget Budget;
+  unsigned Taken = 0;
+  for (int Line = 0; Line < 10'000; ++Line)
+    Taken += Budget.take(EventNumber::RequestAnswered, 1) ? 1 : 0;
+  CHECK(Taken < 10'000);
+  CHECK(Budget.take(EventNumber::RequestFailed, 1));
+  CHECK(Budget.take(EventNumber::RequestRefused, 1));
+  CHECK(Budget.takeOmitted() == 10'000 - Taken);
+}
