--- a/tests/mutants/mutants.py
+++ b/tests/mutants/mutants.py
@@ -132,6 +132,34 @@
         "if (false)",
         "unit",
     ),
+    Mutant(
+        "repeats-are-unbounded",
+        "src/retry/repeat_window.cpp",
+        "if (Repeats + 1 > Bound.Ratio_ * Fresh + Bound.Slack_)",
+        "if (false)",
+        "unit",
+    ),
+    Mutant(
+        "any-answer-is-taken",
+        "platform/platform_dialect.cpp",
+        "return *Told == valueOf(Request.Headers_, wire_name::RequestId);",
+        "return true;",
+        "unit",
+    ),
+    Mutant(
+        "calls-are-moved-again",
+        "src/engine/owner_search.cpp",
+        "return std::min(1.0, Share * Target.HomeWeight_);",
+        "return Share;",
+        "unit",
+    ),
+    Mutant(
+        "moments-tell-nothing",
+        "src/routing/call_graph.cpp",
+        "if (ByEnd == RouteOrigin::Work || ByMoment == RouteOrigin::Work)",
+        "if (ByEnd == RouteOrigin::Work)",
+        "unit",
+    ),
 ]
 
 BACKEND = "src/engine/backend_system.cpp"
@@ -206,32 +234,4 @@
         "  return false && Heavier < WatchersOfDomain;",
         "test_platform",
     ),
-    Mutant(
-        "repeats-are-unbounded",
-        "src/retry/repeat_window.cpp",
-        "if (Repeats + 1 > Bound.Ratio_ * Fresh + Bound.Slack_)",
-        "if (false)",
-        "unit",
-    ),
-    Mutant(
-        "any-answer-is-taken",
-        "platform/platform_dialect.cpp",
-        "return *Told == valueOf(Request.Headers_, wire_name::RequestId);",
-        "return true;",
-        "unit",
-    ),
-    Mutant(
-        "calls-are-moved-again",
-        "src/engine/owner_search.cpp",
-        "return std::min(1.0, Share * Target.HomeWeight_);",
-        "return Share;",
-        "unit",
-    ),
-    Mutant(
-        "moments-tell-nothing",
-        "src/routing/call_graph.cpp",
-        "if (ByEnd == RouteOrigin::Work || ByMoment == RouteOrigin::Work)",
-        "if (ByEnd == RouteOrigin::Work)",
-        "unit",
-    ),
 ]
