--- a/include/fulmarshelf/detail/base/event_log.hpp
+++ b/include/fulmarshelf/detail/base/event_log.hpp
@@ -18,6 +18,7 @@
   RequestCancelled = 1005,
   CallMatched = 1006,
   RequestFailed = 1007,
+  RouteOriginChanged = 1008,
   OwnerChosen = 1101,
   NoOwnerAccepts = 1102,
   RetryStarted = 1103,
--- a/include/fulmarshelf/detail/engine/inputs.hpp
+++ b/include/fulmarshelf/detail/engine/inputs.hpp
@@ -184,11 +184,13 @@
 /// @brief This node's address has been written to the platform.
 struct StoreAnnounced {};
 
-/// @brief A settings object cannot be read; the settings in force stay.
+/// @brief A settings object, or some entries of it, cannot be read. The
+/// settings in force stay unless the readable entries replace them.
 struct StoreUnreadable {
   Collection Collection_ = Collection::Teams;
   std::uint64_t Revision_ = 0; ///< store revision of the read
   std::string Detail_;
+  bool Partly_ = false; ///< the other entries of the object can be read
 };
 
 /// @brief Calls to the store.
--- a/include/fulmarshelf/detail/engine/systems.hpp
+++ b/include/fulmarshelf/detail/engine/systems.hpp
@@ -10,6 +10,14 @@
 
 /// @brief Receives requests and tracks them until they are answered.
 namespace entry_system {
+
+/// @brief Returns whether the unanswered request of a caller is idempotent;
+/// false when the caller has none.
+bool isIdempotentCaller(const NodeState &Node, CallerKey Caller);
+
+/// @brief Returns whether the settings in force permit repeating a request.
+bool isIdempotentRequest(const NodeState &Node, const IncomingRequest &Request);
+
 void receive(NodeState &Node, const CallerArrived &Input);
 void dropCaller(NodeState &Node, CallerKey Caller);
 /// @brief Runs a request that another node forwarded to this node as the home
--- a/include/fulmarshelf/detail/routing/call_graph.hpp
+++ b/include/fulmarshelf/detail/routing/call_graph.hpp
@@ -4,6 +4,7 @@
 #include "fulmarshelf/detail/routing/origin_test.hpp" // OriginTest
 
 #include <map>           // map
+#include <optional>      // optional
 #include <string>        // string
 #include <unordered_map> // unordered_map
 #include <vector>        // vector
@@ -38,6 +39,11 @@
 
   /// @brief Origin of a route's requests, Undecided until enough is known.
   RouteOrigin origin(const std::string &Route) const;
+  /// @brief Returns the origin of a route if it differs from the one returned
+  /// by the previous call for this route; Undecided at first.
+  std::optional<RouteOrigin> takeOriginChange(const std::string &Route);
+  /// @brief Routes whose work was found to call the route; O(parents)
+  std::vector<std::string> callingRoutes(const std::string &Child) const;
   /// @brief False when the deadlines of a route's requests match those of
   /// running work by chance only.
   bool deadlinesMatchCalls(const std::string &Route) const;
@@ -58,6 +64,7 @@
     OriginTest ByArrivalTime_;
     double ParentsFound_ = 0; ///< requests with a found parent, decayed
     std::map<std::string, double> Parents_; ///< ParentsFound_ by parent route
+    RouteOrigin ReportedOrigin_ = RouteOrigin::Undecided;
   };
 
   Entry *findOrAdd(const std::string &Child);
--- a/include/fulmarshelf/detail/settings/node_settings.hpp
+++ b/include/fulmarshelf/detail/settings/node_settings.hpp
@@ -48,6 +48,21 @@
   friend bool operator==(const MeshBounds &, const MeshBounds &) = default;
 };
 
+/// @brief Limits on what one node holds for its callers and for the backend
+/// server.
+struct CallerCapacity {
+  /// Requests that one connection has in progress (HTTP/1.1 pipelining).
+  std::uint32_t PipelinedRequests_ = 16;
+  /// Responses of one connection that wait for an earlier one, in bytes.
+  std::uint64_t HeldBytes_ = std::uint64_t{1024} * 1024;
+  /// Requests of all callers, from the first byte to the response, in bytes.
+  std::uint64_t RequestMemory_ = std::uint64_t{24} * 1024 * 1024;
+  /// Incomplete responses of the backend server, in bytes.
+  std::uint64_t ResponseMemory_ = std::uint64_t{24} * 1024 * 1024;
+  friend bool operator==(const CallerCapacity &,
+                         const CallerCapacity &) = default;
+};
+
 /// @brief Verbosity of the node's log.
 enum class LogLevel : std::uint8_t { Decisions, Changes, Quiet };
 
@@ -71,6 +86,7 @@
   Endpoint BackendServer_;
   Endpoint MetricsAddress_; ///< additional address for metrics; port 0: none
   MeshBounds Bounds_;
+  CallerCapacity Callers_;
   std::string LogFile_; ///< empty: standard output
   LogLevel LogLevel_ = LogLevel::Decisions;
   PolicyMode Policy_ = PolicyMode::Full;
--- a/include/fulmarshelf/detail/settings/route_table.hpp
+++ b/include/fulmarshelf/detail/settings/route_table.hpp
@@ -29,6 +29,8 @@
   Micros LatencyTarget_{0}; ///< answers within this time meet the target
   unsigned Importance_ = 0; ///< 0 to 9, higher is shed later
   unsigned Attempts_ = 1; ///< limit on the backend servers that run one request
+  /// The operator's entry cannot be read; its requests are refused as not run.
+  bool OutOfService_ = false;
   friend bool operator==(const Route &, const Route &) = default;
 };
 
--- a/include/fulmarshelf/detail/shell/connection_table.hpp
+++ b/include/fulmarshelf/detail/shell/connection_table.hpp
@@ -64,6 +64,11 @@
   /// bytes that were written.
   void closeWhenWritten(ConnectionId Id);
 
+  /// @brief Stops or resumes reading; the kernel buffers what the peer sends
+  /// meanwhile, and a close by the peer is noticed only after reading resumes.
+  /// A read in progress still delivers its bytes.
+  void setReading(ConnectionId Id, bool Enabled);
+
   /// @brief Number of bytes queued or being written.
   std::size_t backlog(ConnectionId Id) const;
 
@@ -84,6 +89,8 @@
     std::string Pending_;     ///< bytes of the next write
     unsigned Operations_ = 0; ///< asynchronous operations in progress
     bool Open_ = false;       ///< connected; while false, bytes stay queued
+    bool ReadEnabled_ = true;
+    bool ReadInProgress_ = false;
     bool Closing_ = false;
     bool CloseWhenWritten_ = false;
     bool Lingering_ = false; ///< all bytes written; input is discarded
--- a/include/fulmarshelf/detail/shell/http_client.hpp
+++ b/include/fulmarshelf/detail/shell/http_client.hpp
@@ -6,6 +6,7 @@
 
 #include <chrono>        // milliseconds
 #include <functional>    // function
+#include <limits>        // numeric_limits
 #include <map>           // map
 #include <optional>      // optional
 #include <unordered_map> // unordered_map
@@ -52,6 +53,13 @@
   /// @brief Ends a call by closing its connection; no handler call follows.
   void cancel(HttpCallId CallId);
 
+  /// @brief Sets the size of all incomplete responses that the client holds.
+  /// Beyond it, the call with the largest incomplete response fails.
+  void setMaxMemory(std::uint64_t Bytes) { MaxMemory_ = Bytes; }
+
+  /// @brief Size of the incomplete responses that the client holds.
+  std::uint64_t memory() const { return Memory_; }
+
   /// @brief Number of calls in progress.
   std::size_t size() const { return Calls_.size(); }
 
@@ -70,6 +78,7 @@
     Endpoint Peer_;
     std::chrono::steady_clock::time_point IdleUntil_;
     bool ResponseMismatched_ = false; ///< received another request's response
+    std::uint64_t Memory_ = 0;        ///< its part of Memory_ of all
   };
 
   void send(HttpCallId CallId);
@@ -77,6 +86,8 @@
   void onBytes(ConnectionId Source, std::string_view Bytes);
   void onClosed(ConnectionId Source, CloseReason Reason);
   std::optional<ConnectionId> takeIdle(const Endpoint &Peer);
+  void updateMemory(Client &Entry);
+  void failLargest();
   void drop(ConnectionId Connection);
   void keepIdle(ConnectionId Connection);
   void finish(HttpCallId CallId, const HttpResult &Result);
@@ -90,6 +101,8 @@
   std::unordered_map<ConnectionId, Client> Clients_;
   std::map<Endpoint, std::vector<ConnectionId>> Idle_;
   std::uint64_t LastId_ = 0;
+  std::uint64_t MaxMemory_ = std::numeric_limits<std::uint64_t>::max();
+  std::uint64_t Memory_ = 0;
 };
 
 /// @brief Makes one call and blocks until it ends; for command-line tools.
--- a/include/fulmarshelf/detail/shell/metrics.hpp
+++ b/include/fulmarshelf/detail/shell/metrics.hpp
@@ -3,6 +3,7 @@
 
 #include "fulmarshelf/detail/engine/actions.hpp"    // RecordTime
 #include "fulmarshelf/detail/engine/node_state.hpp" // NodeState
+#include "fulmarshelf/detail/shell/http_server.hpp" // HttpServerCounts
 
 #include <cstdint> // uint64_t
 #include <map>     // map
@@ -20,6 +21,9 @@
   std::uint64_t PeerControlBytes_ = 0;
   std::uint64_t PlatformCalls_ = 0;
   std::uint64_t CallerConnections_ = 0;
+  HttpServerCounts Callers_;
+  std::uint64_t RequestMemory_ = 0;  ///< bytes
+  std::uint64_t ResponseMemory_ = 0; ///< bytes
 };
 
 /// @brief Metrics of one node in the Prometheus text exposition format.
--- a/include/fulmarshelf/detail/shell/node_shell.hpp
+++ b/include/fulmarshelf/detail/shell/node_shell.hpp
@@ -52,6 +52,7 @@
   void sendDatagram(const SendDatagram &Datagram);
   void dispatch(const DispatchWork &Dispatch);
   void onBackendDone(HttpCallId Call, const HttpResult &Result);
+  bool mayOverlap(CallerKey Earlier, const HttpRequest &Next) const;
   void onRequest(CallerKey Caller, bool FromBackend, HttpRequest Request);
   void onBackendRequest(CallerKey Caller, HttpRequest Request);
   void onOperatorRequest(CallerKey Caller, const HttpRequest &Request);
--- a/include/fulmarshelf/detail/shell/peer_session.hpp
+++ b/include/fulmarshelf/detail/shell/peer_session.hpp
@@ -74,8 +74,9 @@
   /// @brief True when the session has nothing left to read or write.
   bool isFinished() const;
 
-  /// @brief Maximum size of one message body in bytes.
-  static constexpr std::size_t MaxMessageBytes = std::size_t{2} * 1024 * 1024;
+  /// @brief Maximum size of one message body in bytes: that of the largest
+  /// response that an owner takes from its backend server.
+  static constexpr std::size_t MaxMessageBytes = std::size_t{16} * 1024 * 1024;
 
   struct State; ///< accessed only by the nghttp2 callbacks
 
--- a/include/fulmarshelf/detail/shell/store_documents.hpp
+++ b/include/fulmarshelf/detail/shell/store_documents.hpp
@@ -63,8 +63,9 @@
 parseNodeAddresses(const std::vector<StoreObject> &Objects);
 
 /// @brief Converts an object of a collection to a version of a subtree.
-/// @param Fault receives the reason when the settings cannot be read
-/// @return nullopt when the object holds no settings or unreadable settings
+/// @param Fault receives the reason when the settings, or some entries of them,
+/// cannot be read
+/// @return nullopt when the object holds no settings or only unreadable ones
 std::optional<SubtreeVersion>
 parseSubtree(Collection Kind, const StoreObject &Object, std::string &Fault);
 
--- a/src/base/event_log.cpp
+++ b/src/base/event_log.cpp
@@ -11,7 +11,7 @@
   std::string_view Name_;
 };
 
-constexpr std::array<NamedEvent, 57> EventNames = {{
+constexpr std::array<NamedEvent, 58> EventNames = {{
     {EventNumber::RequestReceived, "request-received"},
     {EventNumber::RequestAnswered, "request-answered"},
     {EventNumber::RequestRefused, "request-refused"},
@@ -19,6 +19,7 @@
     {EventNumber::RequestCancelled, "request-cancelled"},
     {EventNumber::CallMatched, "call-matched"},
     {EventNumber::RequestFailed, "request-failed"},
+    {EventNumber::RouteOriginChanged, "route-origin-changed"},
     {EventNumber::OwnerChosen, "owner-chosen"},
     {EventNumber::NoOwnerAccepts, "no-owner-accepts"},
     {EventNumber::RetryStarted, "retry-started"},
--- a/src/engine/entry_system.cpp
+++ b/src/engine/entry_system.cpp
@@ -335,6 +335,8 @@
   if (Matched == nullptr)
     return std::nullopt;
   NewRequest.Route_ = routeName(*Matched);
+  if (Matched->OutOfService_)
+    return std::nullopt;
   NewRequest.Service_ =
       Node.ServiceSplits_[NewRequest.Route_].next(Matched->Services_);
   return Node.Settings_.effective(*Matched, NewRequest.Service_,
@@ -353,9 +355,11 @@
 }
 
 CallReply refusalWithoutRules(NodeState &Node, const Request &NewRequest) {
-  bool IsKnown = hasRouteTable(Node)
-                     ? Node.Settings_.routes() == nullptr
-                     : isKnownService(Node, NewRequest.Service_);
+  // A request that matches a route has no rules if the route is out of service.
+  bool IsKnown =
+      hasRouteTable(Node)
+          ? Node.Settings_.routes() == nullptr || !NewRequest.Route_.empty()
+          : isKnownService(Node, NewRequest.Service_);
   if (IsKnown)
     return notRun(ErrorCode::SettingsUnavailable, StartingRetryAfter);
   return notRun(ErrorCode::UnknownService);
@@ -445,6 +449,31 @@
   startByKind(Node, std::move(NewRequest), Input.FromBackend_, *Rules);
 }
 
+bool isIdempotentCaller(const NodeState &Node, CallerKey Caller) {
+  auto Id = Node.RequestOfCaller_.find(Caller);
+  if (Id == Node.RequestOfCaller_.end())
+    return false;
+  auto Entry = Node.Requests_.find(Id->second);
+  return Entry != Node.Requests_.end() && Entry->second.Context_.Idempotent_;
+}
+
+bool isIdempotentRequest(const NodeState &Node,
+                         const IncomingRequest &Request) {
+  const HttpRequest &Http = Request.Http_;
+  std::string_view Path = pathOf(Http.Target_);
+  if (hasRouteTable(Node)) {
+    const RouteTable *Table = Node.Settings_.routes();
+    const Route *Matched =
+        Table == nullptr ? nullptr
+                         : findRoute(*Table, Request.Metadata_.Host_, Path);
+    return Matched != nullptr && Matched->Idempotent_;
+  }
+  std::optional<EffectiveRules> Rules =
+      Node.Settings_.effective(serviceOf(Http.Target_), Http.Method_, Path,
+                               Request.Metadata_.CallerKind_);
+  return Rules && Rules->Idempotent_;
+}
+
 void receiveAsHome(NodeState &Node, StreamKey Stream,
                    const CallMessage &Message) {
   Request NewRequest;
--- a/src/engine/parent_search.cpp
+++ b/src/engine/parent_search.cpp
@@ -153,7 +153,35 @@
 
 } // namespace
 
-Work *findMatchingParent(NodeState &Node, const Request &NewRequest) {
+namespace {
+
+std::string_view originName(RouteOrigin Origin) {
+  switch (Origin) {
+  case RouteOrigin::Undecided:
+    return "undecided";
+  case RouteOrigin::Callers:
+    return "callers";
+  case RouteOrigin::Work:
+    return "work";
+  }
+  return "undecided";
+}
+
+void logOriginChange(NodeState &Node, const std::string &Route) {
+  std::optional<RouteOrigin> Origin = Node.Graph_.takeOriginChange(Route);
+  if (!Origin)
+    return;
+  std::string CallingRoutes;
+  if (*Origin == RouteOrigin::Work)
+    for (const std::string &Parent : Node.Graph_.callingRoutes(Route))
+      CallingRoutes += (CallingRoutes.empty() ? "" : ",") + Parent;
+  log(Node, EventNumber::RouteOriginChanged,
+      {{"route", Route},
+       {"origin", std::string(originName(*Origin))},
+       {"called-by", CallingRoutes}});
+}
+
+Work *searchParent(NodeState &Node, const Request &NewRequest) {
   const std::string &Route = NewRequest.Route_;
   if (!NewRequest.Metadata_.TimeLeft_)
     return nullptr;
@@ -172,6 +200,14 @@
   return Match.Best_;
 }
 
+} // namespace
+
+Work *findMatchingParent(NodeState &Node, const Request &NewRequest) {
+  Work *Parent = searchParent(Node, NewRequest);
+  logOriginChange(Node, NewRequest.Route_);
+  return Parent;
+}
+
 void onCallStarted(NodeState &Node, Work &Parent) {
   recordTimeBetweenCalls(Node, Parent);
   ++Parent.OpenCalls_;
--- a/src/engine/settings_system.cpp
+++ b/src/engine/settings_system.cpp
@@ -19,6 +19,9 @@
 constexpr Micros MaxRoutesBackoff = millis(1000);
 constexpr Micros DigestSyncInterval = millis(1000);
 constexpr Micros MembersSyncInterval = millis(30'000);
+// Without a readable table a node that does not watch lists again after this
+// time; an update by gossip reaches it sooner.
+constexpr Micros TableRecheckInterval = millis(1000);
 constexpr std::size_t WatchersPerDomain = 2;
 constexpr unsigned EarlyNodeListCount = 3;
 constexpr unsigned UpdateRepeatRounds = 2;
@@ -287,6 +290,10 @@
   applyAll(Node, Offered, "store");
   if (Input.Collection_ == Collection::Teams || !Offered.empty())
     beginServing(Node, "store");
+  bool TableMissing = Input.Collection_ == Collection::Routes &&
+                      Node.Settings_.routes() == nullptr;
+  if (TableMissing && !isWatcher(Node))
+    Sync.NextCallAt_ = Node.Now_ + TableRecheckInterval;
   callStore(Node);
 }
 
@@ -325,9 +332,11 @@
 }
 
 void onUnreadable(NodeState &Node, const StoreUnreadable &Input) {
-  Node.Sync_.Unreadable_ = Input.Detail_;
+  if (!Input.Partly_)
+    Node.Sync_.Unreadable_ = Input.Detail_;
   log(Node, EventNumber::StoreUnreadable,
-      {{"of", std::string(collectionName(Input.Collection_))},
+      {{"entries", Input.Partly_ ? "some" : "all"},
+       {"of", std::string(collectionName(Input.Collection_))},
        {"revision", std::to_string(Input.Revision_)},
        {"detail", Input.Detail_}});
 }
--- a/src/routing/call_graph.cpp
+++ b/src/routing/call_graph.cpp
@@ -1,5 +1,7 @@
 #include "fulmarshelf/detail/routing/call_graph.hpp"
 
+#include <utility> // exchange
+
 namespace fulmarshelf {
 
 namespace {
@@ -71,6 +73,32 @@
   return Callers ? RouteOrigin::Callers : RouteOrigin::Undecided;
 }
 
+std::optional<RouteOrigin>
+CallGraph::takeOriginChange(const std::string &Route) {
+  auto Existing = Routes_.find(Route);
+  if (Existing == Routes_.end())
+    return std::nullopt;
+  RouteOrigin Current = origin(Route);
+  RouteOrigin Previous =
+      std::exchange(Existing->second.ReportedOrigin_, Current);
+  if (Current == Previous)
+    return std::nullopt;
+  return Current;
+}
+
+std::vector<std::string>
+CallGraph::callingRoutes(const std::string &Child) const {
+  std::vector<std::string> Result;
+  auto Existing = Routes_.find(Child);
+  if (Existing == Routes_.end())
+    return Result;
+  const Entry &ChildEntry = Existing->second;
+  for (const std::pair<const std::string, double> &Parent : ChildEntry.Parents_)
+    if (Parent.second >= MinParentShare * ChildEntry.ParentsFound_)
+      Result.push_back(Parent.first);
+  return Result;
+}
+
 bool CallGraph::deadlinesMatchCalls(const std::string &Route) const {
   auto Existing = Routes_.find(Route);
   return Existing == Routes_.end() ||
--- a/src/settings/node_settings.cpp
+++ b/src/settings/node_settings.cpp
@@ -19,6 +19,11 @@
     "an IP address with a port from 1 to 65535, such as 127.0.0.1:8080 or "
     "[::1]:8080, and no host name";
 
+constexpr std::uint64_t MaxPipelinedRequests = 1024;
+constexpr std::uint64_t BytesPerKilobyte = 1024;
+constexpr std::uint64_t BytesPerMegabyte = 1024 * BytesPerKilobyte;
+constexpr std::uint64_t MaxMemoryBytes = 64 * 1024 * BytesPerMegabyte;
+
 bool isAddress(const std::string &Text) {
   in_addr Version4;
   in6_addr Version6;
@@ -131,6 +136,22 @@
   Bounds.RepeatSlack_ = Keys.real("repeat-slack").value_or(Bounds.RepeatSlack_);
 }
 
+void readCallers(KeyReader &Keys, NodeSettings &Result) {
+  CallerCapacity &Capacity = Result.Callers_;
+  Capacity.PipelinedRequests_ = static_cast<std::uint32_t>(
+      Keys.number("pipelined-requests", 1, MaxPipelinedRequests)
+          .value_or(Capacity.PipelinedRequests_));
+  auto ReadBytes = [&Keys](const char *Key, std::uint64_t Unit,
+                           std::uint64_t &Bytes) {
+    if (std::optional<std::uint64_t> Value =
+            Keys.number(Key, 1, MaxMemoryBytes / Unit))
+      Bytes = *Value * Unit;
+  };
+  ReadBytes("held-response-kb", BytesPerKilobyte, Capacity.HeldBytes_);
+  ReadBytes("request-memory-mb", BytesPerMegabyte, Capacity.RequestMemory_);
+  ReadBytes("response-memory-mb", BytesPerMegabyte, Capacity.ResponseMemory_);
+}
+
 void readLog(KeyReader &Keys, NodeSettings &Result) {
   Result.LogFile_ = Keys.text("file").value_or("");
   Result.LogLevel_ = readChoice<LogLevel>(Keys, "level",
@@ -191,8 +212,8 @@
   const std::map<std::string, SectionReader> Readers = {
       {"node", &readNode},         {"addresses", &readAddresses},
       {"platform", &readPlatform}, {"interface", &readInterface},
-      {"bounds", &readBounds},     {"log", &readLog},
-      {"policy", &readPolicy}};
+      {"bounds", &readBounds},     {"callers", &readCallers},
+      {"log", &readLog},           {"policy", &readPolicy}};
   Checked<std::vector<IniSection>> Sections = parseIni(File, Text);
   if (!Sections)
     return Sections.error();
@@ -207,7 +228,7 @@
           "", ErrorCode::UnknownSection,
           "section [" + Section.Name_ +
               "] is none of [node], [addresses], [platform], [interface], "
-              "[bounds], [log], [policy]");
+              "[bounds], [callers], [log], [policy]");
       continue;
     }
     SeenSections[Section.Name_] = true;
--- a/src/settings/route_table.cpp
+++ b/src/settings/route_table.cpp
@@ -53,15 +53,19 @@
 
 Route readRoute(KeyReader &Keys) {
   Route Result;
-  for (const char *Key : {"host", "prefix", "timeout-ms"})
+  Result.OutOfService_ = Keys.flag("out-of-service").value_or(false);
+  for (const char *Key : {"host", "prefix"})
     Keys.require(Key);
+  if (!Result.OutOfService_)
+    Keys.require("timeout-ms");
   Result.Host_ = Keys.text("host").value_or("");
   Result.Prefix_ = Keys.text("prefix").value_or("/");
   if (Result.Prefix_.front() != '/' || Result.Prefix_.back() != '/')
     Keys.addFinding("prefix", ErrorCode::BadValue,
                     "'prefix' must begin and end with a slash, but is '" +
                         Result.Prefix_ + "'");
-  Result.Services_ = readShares(Keys);
+  if (!Result.OutOfService_)
+    Result.Services_ = readShares(Keys);
   Result.Idempotent_ = Keys.flag("idempotent").value_or(true);
   Result.Timeout_ =
       Keys.duration("timeout-ms", 1, MaxTimeoutMs).value_or(Micros(0));
@@ -116,8 +120,12 @@
 }
 
 void formatRoute(std::ostringstream &Out, const Route &Value) {
-  Out << "host = " << Value.Host_ << "\nprefix = " << Value.Prefix_
-      << "\nservices = ";
+  Out << "host = " << Value.Host_ << "\nprefix = " << Value.Prefix_;
+  if (Value.OutOfService_) {
+    Out << "\nout-of-service = yes\n";
+    return;
+  }
+  Out << "\nservices = ";
   const char *Separator = "";
   for (const ServiceShare &Share : Value.Services_) {
     Out << Separator << Share.Service_ << ':' << Share.Weight_;
--- a/src/shell/connection_table.cpp
+++ b/src/shell/connection_table.cpp
@@ -117,14 +117,17 @@
 
 void ConnectionTable::startRead(ConnectionId Id) {
   Connection *Entry = find(Id);
-  if (Entry == nullptr)
+  if (Entry == nullptr || !Entry->Open_ || !Entry->ReadEnabled_ ||
+      Entry->ReadInProgress_)
     return;
+  Entry->ReadInProgress_ = true;
   ++Entry->Operations_;
   Entry->Socket_.async_read_some(
       asio::buffer(Entry->Input_),
       [this, Id](error_code Error, std::size_t Count) {
         if (!endOperation(Id))
           return;
+        Connections_.at(Id).ReadInProgress_ = false;
         if (Error) {
           fail(Id, Error == asio::error::eof ? CloseReason::PeerClosed
                                              : CloseReason::Failed);
@@ -141,6 +144,14 @@
       });
 }
 
+void ConnectionTable::setReading(ConnectionId Id, bool Enabled) {
+  Connection *Entry = find(Id);
+  if (Entry == nullptr || Entry->Lingering_)
+    return;
+  Entry->ReadEnabled_ = Enabled;
+  startRead(Id);
+}
+
 void ConnectionTable::write(ConnectionId Id, std::string Bytes) {
   Connection *Entry = find(Id);
   if (Entry == nullptr || Bytes.empty())
@@ -204,6 +215,8 @@
   if (Entry == nullptr || Entry->Lingering_)
     return;
   Entry->Lingering_ = true;
+  Entry->ReadEnabled_ = true;
+  startRead(Id);
   error_code Ignored;
   Entry->Socket_.shutdown(tcp::socket::shutdown_send, Ignored);
   ++Entry->Operations_;
--- a/src/shell/event_writer.cpp
+++ b/src/shell/event_writer.cpp
@@ -107,6 +107,7 @@
   switch (Event) {
   case EventNumber::RequestRefused:
   case EventNumber::RequestFailed:
+  case EventNumber::RouteOriginChanged:
   case EventNumber::NoOwnerAccepts:
   case EventNumber::RetryStarted:
   case EventNumber::RetryDenied:
--- a/src/shell/http1_session.cpp
+++ b/src/shell/http1_session.cpp
@@ -15,6 +15,7 @@
 #include <boost/beast/http/serializer.hpp>    // serializer
 #include <boost/beast/http/string_body.hpp>   // string_body
 
+#include <deque>    // deque
 #include <optional> // optional
 
 namespace fulmarshelf {
@@ -122,15 +123,41 @@
 struct HttpServerSession::State {
   using Parser = http::request_parser<http::string_body>;
 
+  // A request that was taken, or a refused one.
+  struct Exchange {
+    bool HeadOnly_ = false;
+    std::optional<HttpResponse> Response_; ///< waits for an earlier response
+  };
+
+  // A parsed request that has not been taken.
+  struct Parsed {
+    HttpRequest Request_;
+    Time ReceivedAt_;
+    bool KeepAlive_ = true;
+    bool HeadOnly_ = false;
+  };
+
+  // Receipt of all bytes up to a position in the stream of received bytes.
+  struct Receipt {
+    std::uint64_t End_ = 0;
+    Time At_;
+  };
+
   HttpLimits Limits_;
+  PipelineLimits Pipeline_;
   std::optional<Parser> Parser_;
   std::string Input_;
   std::string Output_;
-  bool Busy_ = false;
+  std::uint64_t ReceivedBytes_ = 0;
+  std::deque<Receipt> Receipts_; ///< of the bytes in Input_
+  std::optional<Parsed> Parsed_;
+  std::deque<Exchange> InProgress_; ///< in the order of the requests
+  RequestNumber LastRequest_ = 0;   ///< number of InProgress_.back()
+  Time ReceivedAt_;
+  std::uint64_t HeldBytes_ = 0;
+  bool NoMoreRequests_ = false; ///< the last response closes the connection
   bool Close_ = false;
-  bool KeepAlive_ = true;
-  bool HeadOnly_ = false;
-  bool CloseAfterResponse_ = false; ///< the next response ends the connection
+  bool CloseAfterResponse_ = false; ///< the next request taken is the last one
 
   void resetParser() {
     Parser_.emplace();
@@ -139,15 +166,109 @@
     Parser_->body_limit(Limits_.BodyBytes_);
   }
 
-  void refuse(ErrorCode Error) {
-    Output_ += serializeResponse(toResponse(notRun(Error)), false, false);
-    Close_ = true;
+  void stopReading() {
+    NoMoreRequests_ = true;
+    Parsed_.reset();
+    Input_.clear();
+  }
+
+  // Discards the rest of the input and answers with an error once all earlier
+  // requests are answered.
+  void refuse(const CallReply &Reply) {
+    stopReading();
+    ++LastRequest_;
+    InProgress_.push_back({false, toResponse(Reply)});
+    HeldBytes_ += InProgress_.back().Response_->Body_.size();
+    flush();
+  }
+
+  void refuse(ErrorCode Error) { refuse(notRun(Error)); }
+
+  bool mayParse() const {
+    return !NoMoreRequests_ && !Parsed_ &&
+           InProgress_.size() < Pipeline_.Requests_ &&
+           HeldBytes_ <= Pipeline_.HeldBytes_;
+  }
+
+  // Feeds the input to the parser. Returns false when the request was refused.
+  bool feedParser() {
+    if (!Parser_->is_header_done() && hasFoldedField(Input_)) {
+      refuse(ErrorCode::BadRequest);
+      return false;
+    }
+    while (!Input_.empty() && !Parser_->is_done()) {
+      error_code Error;
+      std::size_t Consumed = Parser_->put(asio::buffer(Input_), Error);
+      Input_.erase(0, Consumed);
+      if (Error == http::error::need_more)
+        break;
+      if (Error) {
+        refuse(toErrorCode(Error));
+        return false;
+      }
+    }
+    // The parser leaves an incomplete chunk header or trailer in the input, and
+    // sets no limit on its size.
+    if (!Parser_->is_done() && Input_.size() > Limits_.HeaderBytes_) {
+      refuse(ErrorCode::HeaderTooLarge);
+      return false;
+    }
+    return true;
+  }
+
+  Time receiptOf(std::uint64_t Position) {
+    while (Receipts_.size() > 1 && Receipts_.front().End_ < Position)
+      Receipts_.pop_front();
+    return Receipts_.empty() ? Time{} : Receipts_.front().At_;
+  }
+
+  void parse() {
+    if (!mayParse() || !feedParser() || !Parser_->is_done())
+      return;
+    http::request<http::string_body> Message = Parser_->release();
+    resetParser();
+    if (!hasUnambiguousFraming(Message)) {
+      refuse(ErrorCode::BadRequest);
+      return;
+    }
+    Parsed_.emplace();
+    HttpRequest &Request = Parsed_->Request_;
+    Request.Method_ = std::string(Message.method_string());
+    Request.Target_ = std::string(Message.target());
+    Request.Headers_ = copyFields(Message.base());
+    Request.Body_ = std::move(Message.body());
+    Parsed_->ReceivedAt_ = receiptOf(ReceivedBytes_ - Input_.size());
+    Parsed_->KeepAlive_ = Message.keep_alive();
+    Parsed_->HeadOnly_ = Message.method() == http::verb::head;
+  }
+
+  // Moves the responses that wait for no earlier one to the output.
+  void flush() {
+    while (!InProgress_.empty() && InProgress_.front().Response_) {
+      Exchange Answered = std::move(InProgress_.front());
+      InProgress_.pop_front();
+      bool Last = NoMoreRequests_ && InProgress_.empty();
+      HeldBytes_ -= Answered.Response_->Body_.size();
+      Output_ +=
+          serializeResponse(*Answered.Response_, !Last, Answered.HeadOnly_);
+      Close_ = Close_ || Last;
+    }
+  }
+
+  void hold(std::size_t Index, const HttpResponse &Response) {
+    if (Index >= InProgress_.size() || InProgress_[Index].Response_)
+      return;
+    InProgress_[Index].Response_ = Response;
+    HeldBytes_ += Response.Body_.size();
+    flush();
   }
 };
 
-HttpServerSession::HttpServerSession(const HttpLimits &Limits)
+HttpServerSession::HttpServerSession(const HttpLimits &Limits,
+                                     const PipelineLimits &Pipeline)
     : State_(std::make_unique<State>()) {
   State_->Limits_ = Limits;
+  State_->Pipeline_ = Pipeline;
   State_->resetParser();
 }
 
@@ -156,62 +277,63 @@
 HttpServerSession::operator=(HttpServerSession &&) noexcept = default;
 HttpServerSession::~HttpServerSession() = default;
 
-void HttpServerSession::receive(std::string_view Bytes) {
+void HttpServerSession::receive(std::string_view Bytes, Time At) {
+  if (State_->NoMoreRequests_)
+    return;
   State_->Input_.append(Bytes);
-  // Closes the connection of a peer that keeps sending while its request is
-  // unanswered.
-  std::size_t MaxBytes =
-      State_->Limits_.HeaderBytes_ + State_->Limits_.BodyBytes_;
-  if (State_->Busy_ && State_->Input_.size() > MaxBytes)
-    State_->Close_ = true;
+  State_->ReceivedBytes_ += Bytes.size();
+  if (!State_->Receipts_.empty() && State_->Receipts_.back().At_ == At)
+    State_->Receipts_.back().End_ = State_->ReceivedBytes_;
+  else
+    State_->Receipts_.push_back({State_->ReceivedBytes_, At});
+}
+
+const HttpRequest *HttpServerSession::peekRequest() {
+  State_->parse();
+  // Receipts of parsed bytes are no longer needed.
+  State_->receiptOf(State_->ReceivedBytes_ - State_->Input_.size() + 1);
+  return State_->Parsed_ ? &State_->Parsed_->Request_ : nullptr;
 }
 
 bool HttpServerSession::nextRequest(HttpRequest &Request) {
-  if (State_->Busy_ || State_->Close_)
-    return false;
-  if (!State_->Parser_->is_header_done() && hasFoldedField(State_->Input_)) {
-    State_->refuse(ErrorCode::BadRequest);
-    return false;
-  }
-  while (!State_->Input_.empty() && !State_->Parser_->is_done()) {
-    error_code Error;
-    std::size_t Consumed =
-        State_->Parser_->put(asio::buffer(State_->Input_), Error);
-    State_->Input_.erase(0, Consumed);
-    if (Error == http::error::need_more)
-      break;
-    if (Error) {
-      State_->refuse(toErrorCode(Error));
-      return false;
-    }
-  }
-  if (!State_->Parser_->is_done())
-    return false;
-  http::request<http::string_body> Message = State_->Parser_->release();
-  if (!hasUnambiguousFraming(Message)) {
-    State_->refuse(ErrorCode::BadRequest);
+  if (peekRequest() == nullptr)
     return false;
-  }
-  Request = {};
-  Request.Method_ = std::string(Message.method_string());
-  Request.Target_ = std::string(Message.target());
-  Request.Headers_ = copyFields(Message.base());
-  Request.Body_ = std::move(Message.body());
-  State_->KeepAlive_ = Message.keep_alive();
-  State_->HeadOnly_ = Message.method() == http::verb::head;
-  State_->Busy_ = true;
-  State_->resetParser();
+  State::Parsed Next = std::move(*State_->Parsed_);
+  State_->Parsed_.reset();
+  Request = std::move(Next.Request_);
+  State_->InProgress_.push_back({Next.HeadOnly_, std::nullopt});
+  ++State_->LastRequest_;
+  State_->ReceivedAt_ = Next.ReceivedAt_;
+  if (!Next.KeepAlive_ || State_->CloseAfterResponse_)
+    State_->stopReading();
   return true;
 }
 
+RequestNumber HttpServerSession::lastRequest() const {
+  return State_->LastRequest_;
+}
+
+HttpServerSession::Time HttpServerSession::receivedAt() const {
+  return State_->ReceivedAt_;
+}
+
+void HttpServerSession::respond(RequestNumber Number,
+                                const HttpResponse &Response) {
+  RequestNumber First = State_->LastRequest_ - State_->InProgress_.size() + 1;
+  if (Number >= First)
+    State_->hold(Number - First, Response);
+}
+
 void HttpServerSession::respond(const HttpResponse &Response) {
-  if (!State_->Busy_)
-    return;
-  State_->Busy_ = false;
-  State_->KeepAlive_ = State_->KeepAlive_ && !State_->CloseAfterResponse_;
-  State_->Output_ +=
-      serializeResponse(Response, State_->KeepAlive_, State_->HeadOnly_);
-  State_->Close_ = State_->Close_ || !State_->KeepAlive_;
+  std::size_t Index = 0;
+  while (Index < State_->InProgress_.size() &&
+         State_->InProgress_[Index].Response_)
+    ++Index;
+  State_->hold(Index, Response);
+}
+
+std::size_t HttpServerSession::inProgress() const {
+  return State_->InProgress_.size();
 }
 
 std::string HttpServerSession::takeOutput() {
@@ -220,7 +342,23 @@
 
 bool HttpServerSession::wantsClose() const { return State_->Close_; }
 
-bool HttpServerSession::isBusy() const { return State_->Busy_; }
+bool HttpServerSession::isBusy() const { return !State_->InProgress_.empty(); }
+
+bool HttpServerSession::hasInput() const {
+  return State_->Parsed_.has_value() || !State_->Input_.empty();
+}
+
+bool HttpServerSession::isFull() const {
+  return !State_->NoMoreRequests_ && !State_->mayParse() &&
+         State_->Input_.size() >= State_->Limits_.HeaderBytes_;
+}
+
+std::size_t HttpServerSession::bufferedBytes() const {
+  std::size_t Size = State_->Input_.size();
+  if (State_->Parsed_)
+    Size += State_->Parsed_->Request_.Body_.size();
+  return Size + State_->Parser_->get().body().size();
+}
 
 void HttpServerSession::setLimits(const HttpLimits &Limits) {
   State_->Limits_ = Limits;
@@ -230,10 +368,19 @@
 
 void HttpServerSession::closeAfterResponse() {
   State_->CloseAfterResponse_ = true;
+  if (isBusy())
+    State_->stopReading();
+}
+
+void HttpServerSession::refuseIncomplete(ErrorCode Error, Micros RetryAfter) {
+  if (!State_->mayParse() || !State_->Parser_->got_some())
+    return;
+  State_->resetParser();
+  State_->refuse(notRun(Error, RetryAfter));
 }
 
 bool HttpServerSession::isReading() const {
-  return !State_->Busy_ &&
+  return !isBusy() && !State_->Parsed_ &&
          (!State_->Input_.empty() || State_->Parser_->got_some());
 }
 
@@ -287,6 +434,10 @@
       if (Error)
         return fail();
     }
+    // The parser leaves an incomplete chunk header or trailer in the input, and
+    // sets no limit on its size.
+    if (!Parser_->is_done() && Input_.size() > Limits_.HeaderBytes_)
+      return fail();
     if (!Parser_->is_done())
       return ClientResult::Waiting;
     if (Parser_->get().result_int() < FirstFinalStatus) {
@@ -372,6 +523,11 @@
   return State_->finish(Response);
 }
 
+std::size_t HttpClientSession::bufferedBytes() const {
+  std::size_t Size = State_->Input_.size();
+  return State_->Waiting_ ? Size + State_->Parser_->get().body().size() : Size;
+}
+
 bool HttpClientSession::isReusable() const { return State_->Reusable_; }
 
 } // namespace fulmarshelf
--- a/src/shell/http_client.cpp
+++ b/src/shell/http_client.cpp
@@ -1,5 +1,7 @@
 #include "fulmarshelf/detail/shell/http_client.hpp"
 
+#include <algorithm> // max_element
+
 namespace fulmarshelf {
 
 namespace {
@@ -112,8 +114,10 @@
     Entry.ResponseMismatched_ = true;
     Result = Entry.Http_.skipResponse(Response);
   }
+  updateMemory(Entry);
   switch (Result) {
   case ClientResult::Waiting:
+    failLargest();
     return;
   case ClientResult::Answered:
     // On a reused connection, the unsent rest of this request would be read as
@@ -132,6 +136,27 @@
   }
 }
 
+void HttpClient::updateMemory(Client &Entry) {
+  std::uint64_t Memory = Entry.Http_.bufferedBytes();
+  Memory_ += Memory - Entry.Memory_;
+  Entry.Memory_ = Memory;
+}
+
+// Frees memory when the incomplete responses together are too large. The
+// largest is the least likely to be an ordinary response.
+void HttpClient::failLargest() {
+  if (Memory_ <= MaxMemory_)
+    return;
+  auto Largest =
+      std::max_element(Clients_.begin(), Clients_.end(),
+                       [](const auto &Left, const auto &Right) {
+                         return Left.second.Memory_ < Right.second.Memory_;
+                       });
+  HttpCallId FailedCall = Largest->second.Call_;
+  drop(Largest->first);
+  finish(FailedCall, HttpFailure{false});
+}
+
 void HttpClient::onClosed(ConnectionId Source, CloseReason Reason) {
   auto ClientEntry = Clients_.find(Source);
   if (ClientEntry == Clients_.end())
@@ -163,6 +188,7 @@
     return;
   std::vector<ConnectionId> &Idle = Idle_[ClientEntry->second.Peer_];
   std::erase(Idle, Connection);
+  Memory_ -= ClientEntry->second.Memory_;
   Clients_.erase(ClientEntry);
   Connections_.close(Connection);
 }
--- a/src/shell/metrics.cpp
+++ b/src/shell/metrics.cpp
@@ -173,7 +173,26 @@
        static_cast<double>(Counts.PlatformCalls_)},
       {"fulmarshelf_caller_connections", "gauge",
        "Connections of outside callers",
-       static_cast<double>(Counts.CallerConnections_)}};
+       static_cast<double>(Counts.CallerConnections_)},
+      {"fulmarshelf_pipelined_requests_total", "counter",
+       "Requests started while an earlier one of their connection was "
+       "unanswered",
+       static_cast<double>(Counts.Callers_.Pipelined_)},
+      {"fulmarshelf_held_responses_total", "counter",
+       "Responses that waited for an earlier one of their connection",
+       static_cast<double>(Counts.Callers_.HeldResponses_)},
+      {"fulmarshelf_held_responses_late_total", "counter",
+       "Held responses that were sent after the caller's time was over",
+       static_cast<double>(Counts.Callers_.LateHeldResponses_)},
+      {"fulmarshelf_requests_refused_for_memory_total", "counter",
+       "Requests refused while being received, for lack of memory",
+       static_cast<double>(Counts.Callers_.RefusedForMemory_)},
+      {"fulmarshelf_request_memory_bytes", "gauge",
+       "Size of the requests held for callers",
+       static_cast<double>(Counts.RequestMemory_)},
+      {"fulmarshelf_response_memory_bytes", "gauge",
+       "Size of incomplete responses of the backend server",
+       static_cast<double>(Counts.ResponseMemory_)}};
   for (const NamedValue &Entry : Values)
     writeValue(Out, Entry);
   return Out.str();
--- a/src/shell/node_shell.cpp
+++ b/src/shell/node_shell.cpp
@@ -1,10 +1,12 @@
 #include "fulmarshelf/detail/shell/node_shell.hpp"
 
+#include "fulmarshelf/detail/engine/systems.hpp"           // entry_system
 #include "fulmarshelf/detail/shell/announcement_codec.hpp" // queryValue
 
 #include <nlohmann/json.hpp> // json
 
-#include <utility> // move
+#include <algorithm> // max, min
+#include <utility>   // move
 
 namespace fulmarshelf {
 
@@ -30,6 +32,8 @@
 // Largest request body that is buffered, even if the route table sets a higher
 // limit.
 constexpr std::uint64_t MaxRequestBytes = std::uint64_t{8} * 1024 * 1024;
+static_assert(MaxResponseBytes <= PeerSession::MaxMessageBytes &&
+              MaxRequestBytes <= PeerSession::MaxMessageBytes);
 
 HttpLimits responseLimits() {
   HttpLimits Limits;
@@ -178,6 +182,9 @@
                 },
                 [this](CallerKey Caller) {
                   handleInput(CallerDisconnected{Caller});
+                },
+                [this](CallerKey Earlier, const HttpRequest &Next) {
+                  return mayOverlap(Earlier, Next);
                 }}),
       BackendSide_(Context, Config.Settings_.BackendListenAddress_,
                    BackendKeySpace, MaxCallerConnections, HttpLimits(),
@@ -217,6 +224,10 @@
               MetricsPages_->respond(Caller, operatorPage(Request));
             },
             [](CallerKey) {}});
+  const CallerCapacity &Capacity = Config.Settings_.Callers_;
+  Callers_.setCapacity({Capacity.PipelinedRequests_, Capacity.HeldBytes_},
+                       Capacity.RequestMemory_);
+  BackendCalls_.setMaxMemory(Config.Settings_.Callers_.ResponseMemory_);
 }
 
 TimePoint NodeShell::now() {
@@ -272,6 +283,20 @@
                      inMillis(CallerLimits_->HeaderTimeout_) + TimeoutMargin);
 }
 
+// Idempotent requests of one connection may run side by side. A request that is
+// not idempotent runs alone, so that its caller sees its outcome in order.
+bool NodeShell::mayOverlap(CallerKey Earlier, const HttpRequest &Next) const {
+  if (!entry_system::isIdempotentCaller(Engine_.state(), Earlier))
+    return false;
+  IncomingRequest Decoded = std::visit(
+      [&Next](const auto &ActiveDialect) {
+        return ActiveDialect.decodeRequest(Next);
+      },
+      Dialect_);
+  return entry_system::isIdempotentRequest(Engine_.state(), Decoded);
+}
+
+// The time that a caller allows counts from the receipt of its request.
 void NodeShell::onRequest(CallerKey Caller, bool FromBackend,
                           HttpRequest Request) {
   IncomingRequest Decoded = std::visit(
@@ -279,6 +304,11 @@
         return ActiveDialect.decodeRequest(std::move(Request));
       },
       Dialect_);
+  std::optional<Micros> &TimeLeft = Decoded.Metadata_.TimeLeft_;
+  if (TimeLeft) {
+    TimeLeft = std::max(Micros(0), *TimeLeft - Micros(Callers_.age(Caller)));
+    Callers_.setDeliverBy(Caller, std::chrono::steady_clock::now() + *TimeLeft);
+  }
   handleInput(CallerArrived{Caller, FromBackend, std::move(Decoded)});
 }
 
@@ -469,6 +499,9 @@
   Counts_.PeerControlBytes_ = Peers_.controlBytes();
   Counts_.CallerConnections_ = Callers_.connections();
   Counts_.PlatformCalls_ = Store_.calls();
+  Counts_.Callers_ = Callers_.counts();
+  Counts_.RequestMemory_ = Callers_.requestMemory();
+  Counts_.ResponseMemory_ = BackendCalls_.memory();
   return textPage(200, Metrics_.text(Node, Counts_));
 }
 
--- a/src/shell/store_client.cpp
+++ b/src/shell/store_client.cpp
@@ -168,10 +168,10 @@
   for (const StoreObject &Object : Objects) {
     std::string Fault;
     std::optional<SubtreeVersion> Subtree = parseSubtree(Kind, Object, Fault);
+    if (!Fault.empty())
+      OnInput_(StoreUnreadable{Kind, Revision, Fault, Subtree.has_value()});
     if (Subtree)
       Result.push_back(std::move(*Subtree));
-    else if (!Fault.empty())
-      OnInput_(StoreUnreadable{Kind, Revision, Fault});
   }
   return Result;
 }
--- a/src/shell/store_documents.cpp
+++ b/src/shell/store_documents.cpp
@@ -98,14 +98,17 @@
     return teamSubtree(Object);
   if (Object.Name_ != ConfigName || Object.Deleted_)
     return std::nullopt;
-  std::variant<SubtreeVersion, UnreadableConfig> Parsed =
+  std::variant<ReadableConfig, UnreadableConfig> Parsed =
       parseConfig(Object.Spec_);
   if (const UnreadableConfig *Unreadable =
           std::get_if<UnreadableConfig>(&Parsed)) {
     Fault = Unreadable->Detail_;
     return std::nullopt;
   }
-  return std::get<SubtreeVersion>(Parsed);
+  const ReadableConfig &Config = std::get<ReadableConfig>(Parsed);
+  for (const std::string &EntryFault : Config.Faults_)
+    Fault += (Fault.empty() ? "" : "; ") + EntryFault;
+  return Config.Version_;
 }
 
 const char *objectKind(Collection Value) {
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -195,3 +195,282 @@
   CHECK(routeKeyOf({"GET", "/shop/x/123?y", {}, {}}) == "GET /shop/x");
   CHECK(routeKeyOf({"GET", "/shop", {}, {}}) == "GET /shop");
 }
+
+namespace {
+
+const std::string ThreeRequests =
+    "GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\nGET /c HTTP/1.1\r\n\r\n";
+
+std::size_t positionOf(const std::string &Text, const std::string &Part) {
+  return Text.find(Part);
+}
+
+} // namespace
+
+TEST_GROUP(Pipelining) {
+  HttpServerSession Server_{HttpLimits{1024, 4096}, PipelineLimits{3, 100}};
+  HttpRequest Request_;
+
+  unsigned takeAll() {
+    unsigned Count = 0;
+    while (Server_.nextRequest(Request_))
+      ++Count;
+    return Count;
+  }
+};
+
+// Guards against one slow answer that delays the start of the requests behind
+// it on the same connection.
+TEST(Pipelining, RequestsAreTakenBeforeEarlierOnesAreAnswered) {
+  Server_.receive(ThreeRequests);
+  CHECK_EQUAL(3U, takeAll());
+  CHECK(Request_.Target_ == "/c");
+  CHECK_EQUAL(3U, Server_.inProgress());
+}
+
+TEST(Pipelining, ResponsesAreSentInTheOrderOfTheRequests) {
+  Server_.receive(ThreeRequests);
+  takeAll();
+  Server_.respond(3, {200, {}, "third"});
+  Server_.respond(2, {200, {}, "second"});
+  CHECK(Server_.takeOutput().empty());
+  Server_.respond(1, {200, {}, "first"});
+  std::string Output = Server_.takeOutput();
+  CHECK(positionOf(Output, "first") < positionOf(Output, "second"));
+  CHECK(positionOf(Output, "second") < positionOf(Output, "third"));
+  CHECK_FALSE(Server_.isBusy());
+  CHECK_FALSE(Server_.wantsClose());
+}
+
+TEST(Pipelining, SecondResponseToOneRequestIsIgnored) {
+  Server_.receive(ThreeRequests);
+  takeAll();
+  Server_.respond(2, {200, {}, "second"});
+  Server_.respond(2, {200, {}, "again"});
+  Server_.respond(1, {200, {}, "first"});
+  Server_.respond(1, {200, {}, "late"});
+  std::string Output = Server_.takeOutput();
+  CHECK_FALSE(contains(Output, "again"));
+  CHECK_FALSE(contains(Output, "late"));
+  CHECK_EQUAL(1U, Server_.inProgress());
+}
+
+TEST(Pipelining, NumberOfRequestsInProgressIsLimited) {
+  Server_.receive(ThreeRequests + ThreeRequests);
+  CHECK_EQUAL(3U, takeAll());
+  Server_.respond({200, {}, "x"});
+  CHECK_EQUAL(1U, takeAll());
+}
+
+TEST(Pipelining, SizeOfHeldResponsesIsLimited) {
+  Server_.receive(ThreeRequests);
+  Server_.nextRequest(Request_);
+  Server_.nextRequest(Request_);
+  Server_.respond(2, {200, {}, std::string(101, 'x')});
+  CHECK_FALSE(Server_.nextRequest(Request_));
+  Server_.respond(1, {200, {}, "y"});
+  CHECK(Server_.nextRequest(Request_));
+}
+
+// Guards against memory that grows with what a caller sends ahead, and against
+// dropping it.
+TEST(Pipelining, FullSessionAsksForNoMoreBytes) {
+  Server_.receive(ThreeRequests);
+  takeAll();
+  CHECK_FALSE(Server_.isFull());
+  std::string Ahead;
+  while (Ahead.size() < 1024)
+    Ahead += "GET /d HTTP/1.1\r\n\r\n";
+  Server_.receive(Ahead);
+  CHECK_FALSE(Server_.nextRequest(Request_));
+  CHECK(Server_.isFull());
+  Server_.respond({200, {}, "x"});
+  CHECK(Server_.nextRequest(Request_));
+  CHECK(Request_.Target_ == "/d");
+}
+
+// A request behind the response that closes the connection must never run,
+// because its caller sends it again.
+TEST(Pipelining, NoRequestIsTakenBehindOneThatEndsTheConnection) {
+  Server_.receive("GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\nConnection: "
+                  "close\r\n\r\nGET /c HTTP/1.1\r\n\r\n");
+  CHECK_EQUAL(2U, takeAll());
+  CHECK(Request_.Target_ == "/b");
+  Server_.respond(1, {200, {}, "first"});
+  CHECK_FALSE(contains(Server_.takeOutput(), "Connection: close"));
+  Server_.receive("GET /d HTTP/1.1\r\n\r\n");
+  CHECK_EQUAL(0U, takeAll());
+  Server_.respond(2, {200, {}, "second"});
+  CHECK(contains(Server_.takeOutput(), "Connection: close"));
+  CHECK(Server_.wantsClose());
+}
+
+TEST(Pipelining, OnlyTheLastResponseAnnouncesTheEndOfALeavingNode) {
+  Server_.receive("GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n");
+  takeAll();
+  Server_.respond(2, {200, {}, "second"});
+  Server_.closeAfterResponse();
+  Server_.receive("GET /c HTTP/1.1\r\n\r\n");
+  CHECK_EQUAL(0U, takeAll());
+  Server_.respond(1, {200, {}, "first"});
+  std::string Output = Server_.takeOutput();
+  CHECK(positionOf(Output, "first") < positionOf(Output, "Connection: close"));
+  CHECK(Server_.wantsClose());
+}
+
+TEST(Pipelining, ErrorWaitsForTheResponsesBeforeIt) {
+  Server_.receive("GET /a HTTP/1.1\r\n\r\nnonsense\r\n\r\n");
+  CHECK_EQUAL(1U, takeAll());
+  CHECK(Server_.takeOutput().empty());
+  Server_.respond({200, {}, "first"});
+  std::string Output = Server_.takeOutput();
+  CHECK(positionOf(Output, "first") < positionOf(Output, "400 Bad Request"));
+  CHECK(Server_.wantsClose());
+}
+
+TEST(Pipelining, TimeOfReceiptIsThatOfTheLastByte) {
+  HttpServerSession::Time Start;
+  HttpServerSession::Time Later = Start + std::chrono::milliseconds(7);
+  Server_.receive("GET /a HTTP/1.1\r\n\r\nGET /b HT", Start);
+  Server_.receive("TP/1.1\r\n\r\nGET /c HTTP/1.1\r\n\r\n", Later);
+  Server_.nextRequest(Request_);
+  CHECK(Server_.receivedAt() == Start);
+  Server_.nextRequest(Request_);
+  CHECK(Server_.receivedAt() == Later);
+  Server_.nextRequest(Request_);
+  CHECK(Server_.receivedAt() == Later);
+}
+
+// Guards the order of responses under any order of answers, damaged input and
+// closing; each response must go to the request with its number.
+TEST(Pipelining, ResponsesMatchTheirRequestsInAnyOrderOfAnswers) {
+  std::mt19937_64 Random(17);
+  for (int Round = 0; Round < 500; ++Round) {
+    HttpServerSession Target{HttpLimits{1024, 4096},
+                             PipelineLimits{4, 1'000'000}};
+    std::string Input;
+    for (int Number = 1; Number <= 20; ++Number)
+      Input += "GET /" + std::to_string(Number) + " HTTP/1.1\r\n\r\n";
+    std::vector<std::pair<RequestNumber, std::string>> Open;
+    std::string Output;
+    std::size_t Sent = 0;
+    while (Sent < Input.size() || !Open.empty()) {
+      std::size_t Count =
+          std::min<std::size_t>(Random() % 40, Input.size() - Sent);
+      Target.receive(Input.substr(Sent, Count));
+      Sent += Count;
+      while (Target.nextRequest(Request_))
+        Open.emplace_back(Target.lastRequest(), Request_.Target_);
+      if (Open.empty())
+        continue;
+      std::size_t Index = Random() % Open.size();
+      Target.respond(Open[Index].first, {200, {}, Open[Index].second + ";"});
+      Open.erase(Open.begin() + static_cast<std::ptrdiff_t>(Index));
+      Output += Target.takeOutput();
+      while (Target.nextRequest(Request_))
+        Open.emplace_back(Target.lastRequest(), Request_.Target_);
+    }
+    std::size_t Position = 0;
+    for (int Number = 1; Number <= 20; ++Number) {
+      std::size_t Found =
+          Output.find("\r\n\r\n/" + std::to_string(Number) + ";", Position);
+      CHECK(Found != std::string::npos);
+      Position = Found;
+    }
+  }
+}
+
+// A backend server may send bytes without end in each part of a response; each
+// part has a limit, and the memory of the session stays near it.
+TEST_GROUP(EndlessResponses) {
+  static constexpr std::size_t EnoughBytes = 200'000;
+  HttpClientSession Client_{HttpLimits{4096, 20'000}};
+  HttpResponse Response_;
+
+  void setup() override { Client_.send({"GET", "/", {}, {}}, "h"); }
+
+  // Sends a start and repeats a part until the session fails.
+  bool failsEarly(const std::string &Start, const std::string &Part) {
+    ClientResult Result = Client_.receive(Start, Response_);
+    std::size_t Sent = 0;
+    while (Result == ClientResult::Waiting && Sent < EnoughBytes) {
+      Result = Client_.receive(Part, Response_);
+      Sent += Part.size();
+      CHECK(Client_.bufferedBytes() <= 30'000);
+    }
+    return Result == ClientResult::Broken;
+  }
+};
+
+TEST(EndlessResponses, BytesThatAreNoResponse) {
+  CHECK(failsEarly("x", std::string(100, 'x')));
+}
+
+TEST(EndlessResponses, StatusLine) {
+  CHECK(failsEarly("HTTP/1.1 200 ", std::string(100, 'x')));
+}
+
+TEST(EndlessResponses, Field) {
+  CHECK(failsEarly("HTTP/1.1 200 OK\r\nA: ", std::string(100, 'x')));
+}
+
+TEST(EndlessResponses, Fields) {
+  CHECK(failsEarly("HTTP/1.1 200 OK\r\n", "A: b\r\n"));
+}
+
+TEST(EndlessResponses, BodyWithoutLength) {
+  CHECK(failsEarly("HTTP/1.1 200 OK\r\n\r\n", std::string(100, 'x')));
+}
+
+TEST(EndlessResponses, Chunks) {
+  CHECK(failsEarly("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                   "4\r\nabcd\r\n"));
+}
+
+TEST(EndlessResponses, ChunkExtension) {
+  CHECK(failsEarly("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;a=",
+                   std::string(100, 'x')));
+}
+
+TEST(EndlessResponses, Trailers) {
+  CHECK(failsEarly("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+                   "A: b\r\n"));
+}
+
+TEST_GROUP(EndlessRequests) {
+  HttpServerSession Server_{HttpLimits{1024, 4096}};
+  HttpRequest Request_;
+
+  bool isRefused(const std::string &Start, const std::string &Part) {
+    Server_.receive(Start);
+    for (int Count = 0; Count < 200 && !Server_.wantsClose(); ++Count) {
+      Server_.nextRequest(Request_);
+      CHECK(Server_.bufferedBytes() <= 8192);
+      Server_.receive(Part);
+    }
+    return Server_.wantsClose() && contains(Server_.takeOutput(), " 4");
+  }
+};
+
+TEST(EndlessRequests, ChunkExtensionIsRefused) {
+  CHECK(isRefused("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n4;a=",
+                  std::string(100, 'x')));
+}
+
+TEST(EndlessRequests, TrailersAreRefused) {
+  CHECK(isRefused("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+                  "A: b\r\n"));
+}
+
+TEST(EndlessRequests, BodyIsRefusedForLackOfMemoryAsNotRun) {
+  Server_.receive("POST /a HTTP/1.1\r\nContent-Length: 4000\r\n\r\nabc");
+  CHECK_FALSE(Server_.nextRequest(Request_));
+  Server_.refuseIncomplete(ErrorCode::Shed, millis(1000));
+  std::string Output = Server_.takeOutput();
+  CHECK(contains(Output, "503 Service Unavailable"));
+  CHECK(contains(Output, "Retry-After: 1\r\n"));
+  CHECK(contains(Output, "Connection: close"));
+  CHECK(Server_.wantsClose());
+  Server_.receive(std::string(4000, 'x'));
+  CHECK_FALSE(Server_.nextRequest(Request_));
+}
