Decide the origin of routes at their owners, and count rejected requests exactly

Change: an owner compares the services of the VMs at which the requests of each of its routes enter; a route that never enters at a service that uses another route of the owner is one of calls. The verdict travels on answers and goes before the entry's own test.

--- a/include/fulmarshelf/detail/admission/admission_controller.hpp
+++ b/include/fulmarshelf/detail/admission/admission_controller.hpp
@@ -39,12 +39,24 @@
   /// its initial value, so that a short, small reduction rejects no request.
   Decision decide(TimePoint Now, const std::string &Route, unsigned Importance);
 
+  /// @brief Returns how many requests an admitted one represents: itself and
+  /// those of its route and importance that were decided on and not admitted
+  /// since the previous admitted one. Every request is represented once,
+  /// whatever the reason for which a request is admitted in the end.
+  /// @return at most MaxRepresented
+  double takeRepresented(const std::string &Route, unsigned Importance);
+
+  /// @brief Bound of the requests that one represents, so that a single one
+  /// does not stand for too many after a time of rejections.
+  static constexpr double MaxRepresented = 50;
+
 private:
   // Credits of one route by importance: the initial credit plus the shares
   // added by requests minus the number of admitted requests.
   struct Credits {
     Credits();
     std::array<double, ImportanceCount> Balances_{};
+    std::array<double, ImportanceCount> Unrepresented_{}; ///< requests
   };
 
   ShareTable ReportedShares_;
--- a/include/fulmarshelf/detail/engine/node_state.hpp
+++ b/include/fulmarshelf/detail/engine/node_state.hpp
@@ -15,8 +15,9 @@
 #include "fulmarshelf/detail/retry/retry_budget.hpp"           // RetryBudget
 #include "fulmarshelf/detail/revocation/attempt_ledger.hpp"    // AttemptLedger
 #include "fulmarshelf/detail/routing/call_graph.hpp"           // CallGraph
-#include "fulmarshelf/detail/routing/route_times.hpp"          // RouteTimes
-#include "fulmarshelf/detail/routing/service_index.hpp"        // ServiceIndex
+#include "fulmarshelf/detail/routing/entry_distribution.hpp" // EntryDistribution
+#include "fulmarshelf/detail/routing/route_times.hpp"        // RouteTimes
+#include "fulmarshelf/detail/routing/service_index.hpp"      // ServiceIndex
 #include "fulmarshelf/detail/routing/weighted_round_robin.hpp" // WeightedRoundRobin
 #include "fulmarshelf/detail/settings/registry.hpp"   // SettingsRegistry
 #include "fulmarshelf/detail/ticket/ticket_table.hpp" // TicketTable
@@ -139,6 +140,7 @@
   DemandMeter Demand_;            ///< demand for this node's backend server
   AdmissionController Admission_; ///< for requests at this entry
   FailureMeter Failures_;         ///< failures of this node's backend server
+  EntryDistribution Entries_; ///< of the routes that this VM's service serves
   DomainShareTable DomainShares_; ///< shares of the local failure domain
   CallGraph Graph_;
   ParentMatches ParentMatches_;
--- a/include/fulmarshelf/detail/routing/call_graph.hpp
+++ b/include/fulmarshelf/detail/routing/call_graph.hpp
@@ -37,7 +37,11 @@
   /// therefore cannot be a call.
   void onCallerRequest(const std::string &Child);
 
-  /// @brief Origin of a route's requests, Undecided until enough is known.
+  /// @brief Records the origin that an owner of the route reported.
+  void onOriginReported(const std::string &Child, RouteOrigin Reported);
+
+  /// @brief Origin of a route's requests, Undecided until enough is known. An
+  /// owner sees the requests of many entries, so its report comes first.
   RouteOrigin origin(const std::string &Route) const;
   /// @brief Returns the origin of a route if it differs from the one returned
   /// by the previous call for this route; Undecided at first.
@@ -64,7 +68,8 @@
     OriginTest ByArrivalTime_;
     double ParentsFound_ = 0; ///< requests with a found parent, decayed
     std::map<std::string, double> Parents_; ///< ParentsFound_ by parent route
-    RouteOrigin ReportedOrigin_ = RouteOrigin::Undecided;
+    RouteOrigin OwnersOrigin_ = RouteOrigin::Undecided; ///< last reported
+    RouteOrigin LoggedOrigin_ = RouteOrigin::Undecided;
   };
 
   Entry *findOrAdd(const std::string &Child);
--- a/include/fulmarshelf/detail/routing/origin_test.hpp
+++ b/include/fulmarshelf/detail/routing/origin_test.hpp
@@ -1,17 +1,10 @@
 #ifndef FULMARSHELF_DETAIL_ROUTING_ORIGIN_TEST_HPP
 #define FULMARSHELF_DETAIL_ROUTING_ORIGIN_TEST_HPP
 
-#include <cstdint> // uint8_t
+#include "fulmarshelf/detail/wire/route_origin.hpp" // RouteOrigin
 
 namespace fulmarshelf {
 
-/// @brief Origin of the requests of a route.
-enum class RouteOrigin : std::uint8_t {
-  Undecided, ///< too few comparisons to decide
-  Callers,   ///< sent by callers of this VM
-  Work,      ///< calls made by running work of this VM
-};
-
 /// @brief Statistical test that distinguishes calls from callers' requests by
 /// the share of requests that match running work. A caller's request matches by
 /// chance only, with a known probability. The match rate of calls is unknown,
--- a/include/fulmarshelf/detail/wire/messages.hpp
+++ b/include/fulmarshelf/detail/wire/messages.hpp
@@ -1,10 +1,11 @@
 #ifndef FULMARSHELF_DETAIL_WIRE_MESSAGES_HPP
 #define FULMARSHELF_DETAIL_WIRE_MESSAGES_HPP
 
-#include "fulmarshelf/detail/base/error.hpp" // ErrorCode
-#include "fulmarshelf/detail/base/ids.hpp"   // AttemptId
-#include "fulmarshelf/detail/base/time.hpp"  // Micros
-#include "fulmarshelf/detail/wire/http.hpp"  // HttpRequest, HttpResponse
+#include "fulmarshelf/detail/base/error.hpp"        // ErrorCode
+#include "fulmarshelf/detail/base/ids.hpp"          // AttemptId
+#include "fulmarshelf/detail/base/time.hpp"         // Micros
+#include "fulmarshelf/detail/wire/http.hpp"         // HttpRequest, HttpResponse
+#include "fulmarshelf/detail/wire/route_origin.hpp" // RouteOrigin
 
 #include <array>       // array
 #include <cstdint>     // uint32_t
@@ -122,6 +123,8 @@
   /// Smallest shares of this owner and of the routes that the answered route
   /// calls.
   OwnerShares Shares_;
+  /// Origin of the answered route's requests, as the owner sees it.
+  RouteOrigin RouteOrigin_ = RouteOrigin::Undecided;
   friend bool operator==(const LoadReport &, const LoadReport &) = default;
 };
 
--- a/src/admission/admission_controller.cpp
+++ b/src/admission/admission_controller.cpp
@@ -1,6 +1,7 @@
 #include "fulmarshelf/detail/admission/admission_controller.hpp"
 
-#include <algorithm> // max, min
+#include <algorithm> // clamp, max, min
+#include <utility>   // exchange
 
 namespace fulmarshelf {
 
@@ -31,7 +32,9 @@
   std::size_t ImportanceIndex =
       std::min<std::size_t>(Importance, ImportanceCount - 1);
   double Share = ReportedShares_.share(Now, Route, ImportanceIndex);
-  double &Credit = Credits_[Route].Balances_[ImportanceIndex];
+  Credits &RouteCredits = Credits_[Route];
+  RouteCredits.Unrepresented_[ImportanceIndex] += 1;
+  double &Credit = RouteCredits.Balances_[ImportanceIndex];
   if (Share >= 1)
     Credit = std::max(Credit, InitialCredit);
   Credit += Share;
@@ -41,4 +44,14 @@
   return {Admitted, Share};
 }
 
+double AdmissionController::takeRepresented(const std::string &Route,
+                                            unsigned Importance) {
+  auto Existing = Credits_.find(Route);
+  if (Existing == Credits_.end())
+    return 1;
+  double &Unrepresented = Existing->second.Unrepresented_[std::min<std::size_t>(
+      Importance, ImportanceCount - 1)];
+  return std::clamp(std::exchange(Unrepresented, 0), 1.0, MaxRepresented);
+}
+
 } // namespace fulmarshelf
--- a/src/engine/entry_admission.cpp
+++ b/src/engine/entry_admission.cpp
@@ -4,8 +4,7 @@
 #include "fulmarshelf/detail/engine/owner_search.hpp" // hasCapacityInOtherDomain
 #include "fulmarshelf/detail/engine/parent_search.hpp" // findMatchingParent
 
-#include <algorithm> // max
-#include <random>    // uniform_real_distribution
+#include <random> // uniform_real_distribution
 
 namespace fulmarshelf {
 
@@ -15,9 +14,6 @@
 // the target is left for the work itself.
 constexpr double MinRetryAfterShare = 0.1;
 constexpr double MaxRetryAfterShare = 0.5;
-// Bounds the demand weight, so that one request at an entry with a very small
-// admitted share does not represent too many rejected ones.
-constexpr double MinCountedShare = 0.02;
 
 // A call that names no parent inherits the root and importance of the work that
 // made it, so that the call is shed together with its root and never alone.
@@ -77,7 +73,7 @@
         "share " + std::to_string(Decision.Share_) + " of route " +
             NewRequest.Route_ + " is used up"};
   NewRequest.Context_.DemandWeight_ =
-      1 / std::max(Decision.Share_, MinCountedShare);
+      Node.Admission_.takeRepresented(NewRequest.Route_, Rules.Importance_);
   return std::nullopt;
 }
 
--- a/src/engine/owner_learning.cpp
+++ b/src/engine/owner_learning.cpp
@@ -22,6 +22,7 @@
   OwnerView &View = Node.Peers_[Ended.Node_].Owner_;
   Node.Admission_.learn(Node.Now_, Pending.Route_,
                         Reply.Load_.Shares_.Admitted_);
+  Node.Graph_.onOriginReported(Pending.Route_, Reply.Load_.RouteOrigin_);
   if (isInSameDomain(Node, Ended.Node_))
     Node.DomainShares_.learn(Node.Now_, Pending.Route_, Reply.Load_.Shares_);
   if (Reply.ServiceTime_.count() > 0)
--- a/src/engine/owner_system.cpp
+++ b/src/engine/owner_system.cpp
@@ -47,6 +47,7 @@
   if (!hasRouteTable(Node))
     return;
   Report.Shares_ = downstreamShares(Node, Route);
+  Report.RouteOrigin_ = Node.Entries_.origin(Node.Now_, Route);
   Report.FailureShare_ = static_cast<std::uint8_t>(
       std::lround(FullShare * Node.Failures_.share(Node.Now_)));
   Report.QueueDelay_ = Node.Running_ < Node.Limit_.limit()
@@ -272,6 +273,8 @@
   QueuedWork Queued = makeQueuedWork(Node, NewWork);
   recordShortWork(Node, NewWork);
   measureDemand(Node, NewWork);
+  if (hasRouteTable(Node))
+    Node.Entries_.onArrival(Node.Now_, NewWork.Route_, Context.Caller_);
   levelOf(Node, NewWork.Long_).onArrival(Queued.Rank_);
   if (isBelowShedImportance(Node, NewWork)) {
     refuse(Node, Attempt, Waiter, Context, ErrorCode::Shed);
--- a/src/engine/parent_search.cpp
+++ b/src/engine/parent_search.cpp
@@ -155,18 +155,6 @@
 
 namespace {
 
-std::string_view originName(RouteOrigin Origin) {
-  switch (Origin) {
-  case RouteOrigin::Undecided:
-    return "undecided";
-  case RouteOrigin::Callers:
-    return "callers";
-  case RouteOrigin::Work:
-    return "work";
-  }
-  return "undecided";
-}
-
 void logOriginChange(NodeState &Node, const std::string &Route) {
   std::optional<RouteOrigin> Origin = Node.Graph_.takeOriginChange(Route);
   if (!Origin)
--- a/src/routing/call_graph.cpp
+++ b/src/routing/call_graph.cpp
@@ -57,10 +57,20 @@
   onDeadlineCompared(Child, false, CallerChance);
 }
 
+void CallGraph::onOriginReported(const std::string &Child,
+                                 RouteOrigin Reported) {
+  if (Reported == RouteOrigin::Undecided)
+    return;
+  if (Entry *ChildEntry = findOrAdd(Child))
+    ChildEntry->OwnersOrigin_ = Reported;
+}
+
 RouteOrigin CallGraph::origin(const std::string &Route) const {
   auto Existing = Routes_.find(Route);
   if (Existing == Routes_.end())
     return RouteOrigin::Undecided;
+  if (Existing->second.OwnersOrigin_ != RouteOrigin::Undecided)
+    return Existing->second.OwnersOrigin_;
   RouteOrigin ByDeadline = Existing->second.ByDeadline_.verdict();
   RouteOrigin ByArrivalTime = Existing->second.ByArrivalTime_.verdict();
   if (ByDeadline == RouteOrigin::Work || ByArrivalTime == RouteOrigin::Work)
@@ -79,8 +89,7 @@
   if (Existing == Routes_.end())
     return std::nullopt;
   RouteOrigin Current = origin(Route);
-  RouteOrigin Previous =
-      std::exchange(Existing->second.ReportedOrigin_, Current);
+  RouteOrigin Previous = std::exchange(Existing->second.LoggedOrigin_, Current);
   if (Current == Previous)
     return std::nullopt;
   return Current;
--- a/src/shell/peer_codec.cpp
+++ b/src/shell/peer_codec.cpp
@@ -270,6 +270,8 @@
     add(Result, "fs-service", Reply.ServiceTime_);
   if (Reply.Load_.QueueDelay_.count() > 0)
     add(Result, "fs-wait", Reply.Load_.QueueDelay_);
+  if (Reply.Load_.RouteOrigin_ != RouteOrigin::Undecided)
+    add(Result, "fs-origin", std::string(originName(Reply.Load_.RouteOrigin_)));
   if (Reply.Load_.FailureShare_ > 0)
     add(Result, "fs-failing", std::uint64_t{Reply.Load_.FailureShare_});
   const OwnerShares &Shares = Reply.Load_.Shares_;
@@ -351,6 +353,7 @@
       Micros(static_cast<Micros::rep>(Fields.optionalNumber("fs-service", 0)));
   Result.Load_.QueueDelay_ =
       Micros(static_cast<Micros::rep>(Fields.optionalNumber("fs-wait", 0)));
+  Result.Load_.RouteOrigin_ = parseOrigin(Fields.optionalText("fs-origin"));
   Result.Load_.FailureShare_ =
       static_cast<std::uint8_t>(std::min<std::uint64_t>(
           Fields.optionalNumber("fs-failing", 0), FullShare));
