Count the VMs of a service when the origin of a route is decided; process tests

Change: a service is expected in proportion to its VMs, and missed only if it uses another route of the same owner.

--- a/include/fulmarshelf/detail/admission/demand_meter.hpp
+++ b/include/fulmarshelf/detail/admission/demand_meter.hpp
@@ -31,12 +31,6 @@
 /// directly from the demand: slots are assigned in order of importance, the
 /// highest first, until all are used.
 ///
-/// Load pattern: rejected callers return, and some calls cannot be traced to
-/// their root, so the weights add up to more or less than the demand that the
-/// entries will admit a share of. The slots that admitted requests really fill
-/// are compared with the slots that the shares were meant to fill, and the
-/// demand is corrected by their ratio.
-///
 /// Load pattern: one failure domain has more demand than its backend server
 /// can serve while other domains have spare capacity. Only the excess of the
 /// local demand is moved, and no more than the spare capacity of the other
@@ -70,17 +64,10 @@
     void add(std::size_t Importance, double SlotMicros);
     // Includes the accumulated demand in the mean and resets it.
     void close(double ElapsedMicros);
-    // Demand of all importances in slots.
-    double total() const;
   };
-  void computeShares(double Slots, Micros Backlog, double ElapsedMicros);
-  void correct(double ElapsedMicros);
+  void computeShares(double Slots, Micros Backlog);
 
-  Series Roots_;    ///< all demand, including requests shed at the entries
-  Series Admitted_; ///< demand of the requests that arrived
-  double AllocatedSlots_ =
-      0;                  ///< slots that the shares were meant to fill, mean
-  double Correction_ = 1; ///< factor from Roots_ to the demand
+  Series Roots_;  ///< all demand, including requests shed at the entries
   Series Local_;  ///< local demand, including calls placed in other domains
   Series Remote_; ///< remote demand, including calls not sent to this domain
   OwnerShares Shares_;
--- a/include/fulmarshelf/detail/engine/node_state.hpp
+++ b/include/fulmarshelf/detail/engine/node_state.hpp
@@ -141,6 +141,7 @@
   AdmissionController Admission_; ///< for requests at this entry
   FailureMeter Failures_;         ///< failures of this node's backend server
   EntryDistribution Entries_; ///< of the routes that this VM's service serves
+  TimePoint NextVmShares_;    ///< next count of the VMs for Entries_
   DomainShareTable DomainShares_; ///< shares of the local failure domain
   CallGraph Graph_;
   ParentMatches ParentMatches_;
--- a/include/fulmarshelf/detail/routing/entry_distribution.hpp
+++ b/include/fulmarshelf/detail/routing/entry_distribution.hpp
@@ -17,8 +17,8 @@
 /// at the VM of the work that makes it, so the calls of a route enter only at
 /// the VMs of the services whose work calls it. An owner sees the services of
 /// the entries for each route that it serves, at any load. Which entries prefer
-/// this owner depends on placement, so each route is compared with the other
-/// routes of the same owner, and not with the membership.
+/// this owner depends on placement, so only a service that uses another route
+/// of the same owner can be missed among the entries of a route.
 ///
 /// A route that every service calls cannot be told from one of callers in this
 /// way, and an owner that serves one route only cannot decide.
@@ -27,6 +27,10 @@
 /// any request that arrives, and OriginTest cannot decide.
 class EntryDistribution {
 public:
+  /// @brief Sets the share of the VMs at which requests can enter by service;
+  /// the shares add up to 1.
+  void setVmShares(std::map<std::string, double> Shares);
+
   /// @brief Counts a request of a route.
   /// @param EntryService service of the VM at which it entered
   void onArrival(TimePoint Now, const std::string &Route,
@@ -44,9 +48,10 @@
   };
 
   static void decay(TimePoint Now, Arrivals &Counts);
-  std::map<std::string, double> entryShares(TimePoint Now,
-                                            const std::string &Route) const;
+  bool usesAnotherRoute(TimePoint Now, const std::string &Service,
+                        const std::string &Route) const;
 
+  std::map<std::string, double> VmShares_;
   std::unordered_map<std::string, Arrivals> Routes_;
 };
 
--- a/src/admission/demand_meter.cpp
+++ b/src/admission/demand_meter.cpp
@@ -1,7 +1,7 @@
 #include "fulmarshelf/detail/admission/demand_meter.hpp"
 
 #include <algorithm> // clamp, max, min
-#include <cmath>     // exp, lround, pow
+#include <cmath>     // exp, lround
 #include <numeric>   // accumulate
 
 namespace fulmarshelf {
@@ -26,14 +26,6 @@
 // the demand is detected.
 constexpr double MinAdmittedShare = 0.02;
 
-// The ratio of filled to allocated slots acts on the correction over this time,
-// which is above the delay after which entries admit by the reported shares.
-constexpr double CorrectionMicros = 1'000'000;
-constexpr double MinCorrection = 0.25;
-constexpr double MaxCorrection = 1;
-// With fewer allocated slots the ratio is mostly chance.
-constexpr double MinAllocatedSlots = 1;
-
 // Subtracts the demand from the remaining slots; returns the admitted share of
 // the demand.
 std::uint8_t allocateShare(double Demand, double &Remaining) {
@@ -63,7 +55,6 @@
       std::min<std::size_t>(Arrival.Importance_, ImportanceCount - 1);
   auto SlotMicros = static_cast<double>(Arrival.SlotTime_.count());
   Roots_.add(Importance, SlotMicros * std::max(1.0, Arrival.DemandWeight_));
-  Admitted_.add(Importance, SlotMicros);
   Series &DomainDemand = Arrival.SameDomain_ ? Local_ : Remote_;
   DomainDemand.add(Importance,
                    SlotMicros * std::max(1.0, Arrival.PlacementWeight_));
@@ -77,52 +68,31 @@
     return false;
   LastUpdate_ = Now;
   Roots_.close(ElapsedMicros);
-  Admitted_.close(ElapsedMicros);
-  correct(ElapsedMicros);
   Local_.close(ElapsedMicros);
   Remote_.close(ElapsedMicros);
-  computeShares(std::max(1.0, Slots), Backlog, ElapsedMicros);
+  computeShares(std::max(1.0, Slots), Backlog);
   return true;
 }
 
-double DemandMeter::Series::total() const {
-  return std::accumulate(Mean_.begin(), Mean_.end(), 0.0);
-}
-
-// While requests are shed, moves the correction towards the value with which
-// the admitted requests fill the allocated slots; otherwise towards 1.
-void DemandMeter::correct(double ElapsedMicros) {
-  double Ratio = 1 / Correction_;
-  bool Shedding = Shares_.Admitted_ != FullShares;
-  if (Shedding && AllocatedSlots_ >= MinAllocatedSlots)
-    Ratio = Admitted_.total() / AllocatedSlots_;
-  Correction_ *= std::pow(std::max(Ratio, MinCorrection),
-                          std::min(1.0, ElapsedMicros / CorrectionMicros));
-  Correction_ = std::clamp(Correction_, MinCorrection, MaxCorrection);
-}
-
-void DemandMeter::computeShares(double Slots, Micros Backlog,
-                                double ElapsedMicros) {
+void DemandMeter::computeShares(double Slots, Micros Backlog) {
   double DrainSlots = static_cast<double>(Backlog.count()) / DrainMicros;
   double SlotsForRoots =
       std::max(Slots * MinUsableShare, Slots * UsableShare - DrainSlots);
   double SlotsForPlacement = std::max(
       Slots * MinUsableShare, Slots * PlacementUsableShare - DrainSlots);
-  double UnallocatedSlots = SlotsForRoots;
   for (std::size_t Bound = ImportanceCount; Bound > 0; --Bound) {
     std::size_t Importance = Bound - 1;
     Shares_.Admitted_[Importance] =
-        allocateShare(Correction_ * Roots_.Mean_[Importance], UnallocatedSlots);
+        allocateShare(Roots_.Mean_[Importance], SlotsForRoots);
     Shares_.Local_[Importance] =
         allocateShare(Local_.Mean_[Importance], SlotsForPlacement);
     Shares_.Remote_[Importance] =
         allocateShare(Remote_.Mean_[Importance], SlotsForPlacement);
   }
-  double Weight = 1 - std::exp(-ElapsedMicros / SmoothingMicros);
-  AllocatedSlots_ +=
-      Weight * (SlotsForRoots - UnallocatedSlots - AllocatedSlots_);
 }
 
-double DemandMeter::demand() const { return Correction_ * Roots_.total(); }
+double DemandMeter::demand() const {
+  return std::accumulate(Roots_.Mean_.begin(), Roots_.Mean_.end(), 0.0);
+}
 
 } // namespace fulmarshelf
--- a/src/engine/owner_system.cpp
+++ b/src/engine/owner_system.cpp
@@ -18,6 +18,7 @@
 constexpr std::uint16_t FirstFailureStatus = 500;
 constexpr Micros RefusedConnectionBackoff = millis(200);
 constexpr Micros MaxRetryAfter = millis(5000);
+constexpr Micros VmSharesInterval = millis(1000);
 
 void notifyWaiters(NodeState &Node, Work &Ended, const CallReply &Reply) {
   for (const StreamKey &Stream : Ended.RevokeWaiters_) {
@@ -81,6 +82,30 @@
        {"queued", std::to_string(Node.Queue_.size())}});
 }
 
+// Counts the VMs at which requests can enter by service.
+void updateVmShares(NodeState &Node) {
+  if (Node.Now_ < Node.NextVmShares_)
+    return;
+  Node.NextVmShares_ = Node.Now_ + VmSharesInterval;
+  std::map<std::string, double> Shares;
+  Shares[Node.Config_.Settings_.Service_] = 1;
+  double Total = 1;
+  for (const Member &Other : Node.Membership_.available()) {
+    Shares[Other.Service_] += 1;
+    Total += 1;
+  }
+  for (std::pair<const std::string, double> &Share : Shares)
+    Share.second /= Total;
+  Node.Entries_.setVmShares(std::move(Shares));
+}
+
+void recordEntry(NodeState &Node, const Work &NewWork) {
+  if (!hasRouteTable(Node))
+    return;
+  updateVmShares(Node);
+  Node.Entries_.onArrival(Node.Now_, NewWork.Route_, NewWork.Context_.Caller_);
+}
+
 // Removes work from the tables, sends its reply to the sender of the attempt
 // and to waiting revocations, and cancels its unanswered calls.
 void finish(NodeState &Node, WorkId Id, CallReply Reply) {
@@ -273,8 +298,7 @@
   QueuedWork Queued = makeQueuedWork(Node, NewWork);
   recordShortWork(Node, NewWork);
   measureDemand(Node, NewWork);
-  if (hasRouteTable(Node))
-    Node.Entries_.onArrival(Node.Now_, NewWork.Route_, Context.Caller_);
+  recordEntry(Node, NewWork);
   levelOf(Node, NewWork.Long_).onArrival(Queued.Rank_);
   if (isBelowShedImportance(Node, NewWork)) {
     refuse(Node, Attempt, Waiter, Context, ErrorCode::Shed);
--- a/src/routing/entry_distribution.cpp
+++ b/src/routing/entry_distribution.cpp
@@ -1,7 +1,7 @@
 #include "fulmarshelf/detail/routing/entry_distribution.hpp"
 
-#include <algorithm> // max
-#include <cmath>     // exp2
+#include <cmath>   // exp2
+#include <utility> // move
 
 namespace fulmarshelf {
 
@@ -28,6 +28,10 @@
     Count.second *= Factor;
 }
 
+void EntryDistribution::setVmShares(std::map<std::string, double> Shares) {
+  VmShares_ = std::move(Shares);
+}
+
 void EntryDistribution::onArrival(TimePoint Now, const std::string &Route,
                                   const std::string &EntryService) {
   auto Existing = Routes_.find(Route);
@@ -43,23 +47,19 @@
   Counts.ByService_[EntryService] += 1;
 }
 
-// Largest share of each service among the entries of another route. A service
-// that is absent from the entries of one route, but not from those of another,
-// has callers or work that this owner would have seen.
-std::map<std::string, double>
-EntryDistribution::entryShares(TimePoint Now, const std::string &Route) const {
-  std::map<std::string, double> Result;
+bool EntryDistribution::usesAnotherRoute(TimePoint Now,
+                                         const std::string &Service,
+                                         const std::string &Route) const {
   for (const std::pair<const std::string, Arrivals> &Other : Routes_) {
+    if (Other.first == Route)
+      continue;
     Arrivals Counts = Other.second;
     decay(Now, Counts);
-    if (Other.first == Route || Counts.Total_ < MinArrivals)
-      continue;
-    for (const std::pair<const std::string, double> &Count : Counts.ByService_)
-      if (Count.second >= MinExpected)
-        Result[Count.first] =
-            std::max(Result[Count.first], Count.second / Counts.Total_);
+    auto Count = Counts.ByService_.find(Service);
+    if (Count != Counts.ByService_.end() && Count->second >= MinExpected)
+      return true;
   }
-  return Result;
+  return false;
 }
 
 RouteOrigin EntryDistribution::origin(TimePoint Now,
@@ -73,14 +73,14 @@
     return RouteOrigin::Undecided;
   unsigned PresentServices = 0;
   bool AllPresent = true;
-  for (const std::pair<const std::string, double> &Share :
-       entryShares(Now, Route)) {
+  for (const std::pair<const std::string, double> &Share : VmShares_) {
     double Expected = Share.second * Counts.Total_;
     if (Expected < MinExpected)
       continue;
     auto Count = Counts.ByService_.find(Share.first);
     double Arrived = Count == Counts.ByService_.end() ? 0 : Count->second;
-    if (Arrived < MaxAbsentShare * Expected)
+    if (Arrived < MaxAbsentShare * Expected &&
+        usesAnotherRoute(Now, Share.first, Route))
       return RouteOrigin::Work;
     bool Present = Arrived >= MinPresentShare * Expected;
     PresentServices += Present ? 1 : 0;
--- a/tests/unit/overload_test.cpp
+++ b/tests/unit/overload_test.cpp
@@ -296,3 +296,35 @@
   CHECK_FALSE(Window.tryAcquire(Start, Bound));
   CHECK(Window.tryAcquire(Start + millis(11'000), Bound));
 }
+
+// Each rejected request is represented by the next admitted one, also when
+// requests are admitted for another reason than the share.
+TEST(Overload, AdmittedRequestsRepresentEveryRequestOnce) {
+  AdmissionController Admission;
+  AdmittedShares Quarter = FullShares;
+  Quarter[7] = FullShare / 4;
+  for (std::int64_t Round = 0; Round < 100; ++Round)
+    Admission.learn(Now_ + millis(Round * 10), "r", Quarter);
+  TimePoint Later = Now_ + millis(1000);
+  double Represented = 0;
+  for (int Round = 0; Round < 1000; ++Round) {
+    bool Admitted = Admission.decide(Later, "r", 7).Admitted_;
+    if (Admitted || Round % 3 == 0)
+      Represented += Admission.takeRepresented("r", 7);
+  }
+  DOUBLES_EQUAL(1000, Represented, 5);
+  CHECK(Admission.takeRepresented("unknown", 7) == 1);
+}
+
+TEST(Overload, ReportOfAnOwnerGoesBeforeTheTestOfTheEntry) {
+  CallGraph Graph;
+  for (int Round = 0; Round < 20; ++Round) {
+    Graph.onDeadlineCompared("called", Round % 3 == 0, 0.3);
+    Graph.onCallerRequest("called");
+  }
+  CHECK(Graph.origin("called") == RouteOrigin::Callers);
+  Graph.onOriginReported("called", RouteOrigin::Work);
+  CHECK(Graph.origin("called") == RouteOrigin::Work);
+  Graph.onOriginReported("called", RouteOrigin::Undecided);
+  CHECK(Graph.origin("called") == RouteOrigin::Work);
+}
--- a/tools/instance_standin.cpp
+++ b/tools/instance_standin.cpp
@@ -190,6 +190,8 @@
     Faults_.Draining_ = Read("drain", Faults_.Draining_ ? 1 : 0) != 0;
     Faults_.Refusals_ = Read("refuse", Faults_.Refusals_);
     Faults_.LostAnswers_ = Read("lose-answers", Faults_.LostAnswers_);
+    Shape_.RunTime_ = std::chrono::milliseconds(
+        Read("run-ms", static_cast<std::uint64_t>(Shape_.RunTime_.count())));
     // Drops the work of the old instance without a response, as in a crash.
     if (std::string NewInstance = queryValue(Request.Target_, "restart-as");
         !NewInstance.empty())
--- a/tools/route_mesh.py
+++ b/tools/route_mesh.py
@@ -71,11 +71,13 @@
             ]
         )
 
-    def write_routes(self, routes, timeout_ms=3000):
+    def write_routes(self, routes, timeout_ms=3000, max_body=65536):
         """Writes the next version of the route table; returns its number."""
         self.version += 1
         self.write_spec(
-            config_document(self.version, HOST, routes, ["front", "deep"], timeout_ms)
+            config_document(
+                self.version, HOST, routes, ["front", "deep"], timeout_ms, max_body
+            )
         )
         return self.version
 
