--- a/include/fulmarshelf/detail/engine/tables.hpp
+++ b/include/fulmarshelf/detail/engine/tables.hpp
@@ -46,6 +46,8 @@
   unsigned AttemptCount_ = 0; ///< attempts started at an owner or ticket home
   bool NextAttemptPaid_ = false; ///< a token was spent on the next attempt
   bool MayHaveRun_ = false;      ///< an ended attempt may have run
+  /// Failure that a backend server answered before the request was repeated.
+  std::optional<CallReply> AnsweredFailure_;
   Micros RetryAfter_{0};
   ErrorCode LastError_ = ErrorCode::NoLiveOwner;
 };
--- a/src/engine/entry_system.cpp
+++ b/src/engine/entry_system.cpp
@@ -555,6 +555,10 @@
   }
   bool ProvedNotRun =
       attempt_system::cancelAttempts(Node, Expired) && !Expired.MayHaveRun_;
+  if (Expired.AnsweredFailure_) {
+    answer_system::finish(Node, Id, CallReply(*Expired.AnsweredFailure_));
+    return;
+  }
   answer_system::finish(Node, Id,
                         ProvedNotRun
                             ? notRun(ErrorCode::DeadlineExceeded)
--- a/src/engine/settings_system.cpp
+++ b/src/engine/settings_system.cpp
@@ -335,7 +335,7 @@
   if (!Input.Partly_)
     Node.Sync_.Unreadable_ = Input.Detail_;
   log(Node, EventNumber::StoreUnreadable,
-      {{"entries", Input.Partly_ ? "some" : "all"},
+      {{"entries", Input.Partly_ ? "some" : ""},
        {"of", std::string(collectionName(Input.Collection_))},
        {"revision", std::to_string(Input.Revision_)},
        {"detail", Input.Detail_}});
