--- a/src/settings/node_settings.cpp
+++ b/src/settings/node_settings.cpp
@@ -21,8 +21,10 @@
 
 constexpr std::uint64_t MaxPipelinedRequests = 1024;
 constexpr std::uint64_t BytesPerKilobyte = 1024;
-constexpr std::uint64_t BytesPerMegabyte = 1024 * BytesPerKilobyte;
-constexpr std::uint64_t MaxMemoryBytes = 64 * 1024 * BytesPerMegabyte;
+constexpr std::uint64_t BytesPerMegabyte =
+    std::uint64_t{1024} * BytesPerKilobyte;
+constexpr std::uint64_t MaxMemoryBytes =
+    std::uint64_t{64} * 1024 * BytesPerMegabyte;
 
 bool isAddress(const std::string &Text) {
   in_addr Version4;
--- a/src/shell/http1_session.cpp
+++ b/src/shell/http1_session.cpp
@@ -118,31 +118,33 @@
          Parsed.version() == 11;
 }
 
+using SessionTime = HttpServerSession::Time;
+
+// A request that was taken, or a refused one.
+struct TakenRequest {
+  bool HeadOnly_ = false;
+  std::optional<HttpResponse> Response_; // waits for an earlier response
+};
+
+// A parsed request that has not been taken.
+struct ParsedRequest {
+  HttpRequest Request_;
+  SessionTime ReceivedAt_;
+  bool KeepAlive_ = true;
+  bool HeadOnly_ = false;
+};
+
+// Receipt of all bytes up to a position in the stream of received bytes.
+struct Receipt {
+  std::uint64_t End_ = 0;
+  SessionTime At_;
+};
+
 } // namespace
 
 struct HttpServerSession::State {
   using Parser = http::request_parser<http::string_body>;
 
-  // A request that was taken, or a refused one.
-  struct Exchange {
-    bool HeadOnly_ = false;
-    std::optional<HttpResponse> Response_; ///< waits for an earlier response
-  };
-
-  // A parsed request that has not been taken.
-  struct Parsed {
-    HttpRequest Request_;
-    Time ReceivedAt_;
-    bool KeepAlive_ = true;
-    bool HeadOnly_ = false;
-  };
-
-  // Receipt of all bytes up to a position in the stream of received bytes.
-  struct Receipt {
-    std::uint64_t End_ = 0;
-    Time At_;
-  };
-
   HttpLimits Limits_;
   PipelineLimits Pipeline_;
   std::optional<Parser> Parser_;
@@ -150,9 +152,9 @@
   std::string Output_;
   std::uint64_t ReceivedBytes_ = 0;
   std::deque<Receipt> Receipts_; ///< of the bytes in Input_
-  std::optional<Parsed> Parsed_;
-  std::deque<Exchange> InProgress_; ///< in the order of the requests
-  RequestNumber LastRequest_ = 0;   ///< number of InProgress_.back()
+  std::optional<ParsedRequest> Parsed_;
+  std::deque<TakenRequest> InProgress_; ///< in the order of the requests
+  RequestNumber LastRequest_ = 0;       ///< number of InProgress_.back()
   Time ReceivedAt_;
   std::uint64_t HeldBytes_ = 0;
   bool NoMoreRequests_ = false; ///< the last response closes the connection
@@ -245,7 +247,7 @@
   // Moves the responses that wait for no earlier one to the output.
   void flush() {
     while (!InProgress_.empty() && InProgress_.front().Response_) {
-      Exchange Answered = std::move(InProgress_.front());
+      TakenRequest Answered = std::move(InProgress_.front());
       InProgress_.pop_front();
       bool Last = NoMoreRequests_ && InProgress_.empty();
       HeldBytes_ -= Answered.Response_->Body_.size();
@@ -298,7 +300,7 @@
 bool HttpServerSession::nextRequest(HttpRequest &Request) {
   if (peekRequest() == nullptr)
     return false;
-  State::Parsed Next = std::move(*State_->Parsed_);
+  ParsedRequest Next = std::move(*State_->Parsed_);
   State_->Parsed_.reset();
   Request = std::move(Next.Request_);
   State_->InProgress_.push_back({Next.HeadOnly_, std::nullopt});
--- a/tests/unit/entry_distribution_test.cpp
+++ b/tests/unit/entry_distribution_test.cpp
@@ -13,10 +13,8 @@
   TimePoint Now_{millis(1000)};
 
   void setup() override {
-    Entries_.setVmShares({{"front", 0.25},
-                          {"middle", 0.25},
-                          {"deep", 0.25},
-                          {"other", 0.25}});
+    Entries_.setVmShares(
+        {{"front", 0.25}, {"middle", 0.25}, {"deep", 0.25}, {"other", 0.25}});
   }
 
   void arrive(const std::string &Route,
