--- a/tests/mutants/mutants.py
+++ b/tests/mutants/mutants.py
@@ -19,7 +19,59 @@
 OWNER = "src/engine/owner_system.cpp"
 ENTRY = "src/engine/entry_system.cpp"
 
+SESSION = "src/shell/http1_session.cpp"
+ENTRIES = "src/routing/entry_distribution.cpp"
+
 CORE = [
+    Mutant(
+        "responses-are-sent-as-they-become-ready",
+        SESSION,
+        "InProgress_[Index].Response_ = Response;",
+        "InProgress_[0].Response_ = Response;",
+        "unit",
+    ),
+    Mutant(
+        "requests-behind-the-last-response-are-taken",
+        SESSION,
+        "return !NoMoreRequests_ && !Parsed_ &&",
+        "return !Parsed_ &&",
+        "unit",
+    ),
+    Mutant(
+        "incomplete-chunk-headers-have-no-limit",
+        SESSION,
+        "if (!Parser_->is_done() && Input_.size() > Limits_.HeaderBytes_)\n      return fail();",
+        "",
+        "unit",
+    ),
+    Mutant(
+        "absent-service-needs-no-other-route",
+        ENTRIES,
+        "Arrived < MaxAbsentShare * Expected &&\n        usesAnotherRoute(Now, Share.first, Route)",
+        "Arrived < MaxAbsentShare * Expected",
+        "unit",
+    ),
+    Mutant(
+        "rejected-requests-are-not-represented",
+        "src/admission/admission_controller.cpp",
+        "RouteCredits.Unrepresented_[ImportanceIndex] += 1;",
+        "",
+        "unit",
+    ),
+    Mutant(
+        "failure-of-non-idempotent-request-is-repeated",
+        ATTEMPTS,
+        "!Pending.Context_.Idempotent_ || !Pending.Attempts_.empty() ||",
+        "!Pending.Attempts_.empty() ||",
+        "golden",
+    ),
+    Mutant(
+        "unknown-kind-is-idempotent",
+        "platform/config_codec.cpp",
+        'Source.at("kind").get<std::string>() == "safe"',
+        'Source.at("kind").get<std::string>() != "unsafe"',
+        "unit",
+    ),
     Mutant("no-fence", LEDGER, "if (Link <= From.FencedThrough_)", "if (false)", "golden"),
     Mutant(
         "finished-attempts-are-ignored",
