--- a/include/fulmarshelf/detail/shell/http_server.hpp
+++ b/include/fulmarshelf/detail/shell/http_server.hpp
@@ -91,7 +91,8 @@
     RequestNumber Number_ = 0;
     Clock::time_point ReceivedAt_;
     std::size_t BodyBytes_ = 0;
-    bool Answered_ = false; ///< its response waits for an earlier one
+    bool Answered_ = false;
+    bool Held_ = false; ///< its response waits for an earlier one
     Clock::time_point DeliverBy_ = Clock::time_point::max();
   };
 
@@ -113,7 +114,7 @@
   void advance(ConnectionId Source);
   bool startNext(ConnectionId Source, Exchange &Entry);
   bool mayStart(const Exchange &Entry, const HttpRequest &Next) const;
-  void dropAnswered(Exchange &Entry);
+  void dropSent(Exchange &Entry);
   void sendResponses(ConnectionId Target, Exchange &Entry);
   static PendingRequest *findPending(Exchange &Entry, CallerKey Caller);
   void updateReading(Exchange &Entry);
--- a/src/shell/http_server.cpp
+++ b/src/shell/http_server.cpp
@@ -212,13 +212,13 @@
   }
 }
 
-// Removes the requests whose responses the session has put out.
-void HttpServer::dropAnswered(Exchange &Entry) {
+// Removes the requests whose responses are sent: those that wait for no earlier
+// one.
+void HttpServer::dropSent(Exchange &Entry) {
   Clock::time_point Now = Clock::now();
-  while (Entry.Pending_.size() > Entry.Http_.inProgress()) {
+  while (!Entry.Pending_.empty() && Entry.Pending_.front().Answered_) {
     const PendingRequest &Sent = Entry.Pending_.front();
-    Counts_.LateHeldResponses_ +=
-        Sent.Answered_ && Now > Sent.DeliverBy_ ? 1 : 0;
+    Counts_.LateHeldResponses_ += Sent.Held_ && Now > Sent.DeliverBy_ ? 1 : 0;
     Entry.Pending_.pop_front();
   }
 }
@@ -240,12 +240,12 @@
   Callers_.erase(CallerEntry);
   Exchange &Entry = Exchanges_.at(Target);
   PendingRequest *Request = findPending(Entry, Caller);
-  bool IsHeld = Request != &Entry.Pending_.front();
-  Request->Answered_ = IsHeld;
-  Counts_.HeldResponses_ += IsHeld ? 1 : 0;
+  Request->Answered_ = true;
+  Request->Held_ = Request != &Entry.Pending_.front();
+  Counts_.HeldResponses_ += Request->Held_ ? 1 : 0;
   Entry.IdleSince_ = Clock::now();
   Entry.Http_.respond(Request->Number_, Response);
-  dropAnswered(Entry);
+  dropSent(Entry);
   // The next request must not reach the handler before the caller of this
   // function is done with its current one.
   if (Entry.Advancing_)
