--- a/include/fulmarshelf/detail/routing/entry_distribution.hpp
+++ b/include/fulmarshelf/detail/routing/entry_distribution.hpp
@@ -20,8 +20,8 @@
 /// this owner depends on placement, so only a service that uses another route
 /// of the same owner can be missed among the entries of a route.
 ///
-/// A route that every service calls cannot be told from one of callers in this
-/// way, and an owner that serves one route only cannot decide.
+/// A route that every service calls cannot be distinguished from one of callers
+/// in this way, and an owner that serves one route only cannot decide.
 ///
 /// Load pattern: so much work runs at an entry that some work could have made
 /// any request that arrives, and OriginTest cannot decide.
--- a/src/engine/attempt_system.cpp
+++ b/src/engine/attempt_system.cpp
@@ -1,5 +1,7 @@
+#include "failure_repeat.hpp" // mayRepeatFailure
 #include "owner_learning.hpp" // learnFromReply
 
+#include "failure_repeat.hpp"                         // mayRepeatFailure
 #include "fulmarshelf/detail/engine/answers.hpp"      // notRun
 #include "fulmarshelf/detail/engine/owner_search.hpp" // findOwners
 #include "fulmarshelf/detail/engine/systems.hpp"      // attempt_system
@@ -12,14 +14,6 @@
 
 namespace {
 
-constexpr std::uint16_t InternalErrorStatus = 500;
-// A repeat is started only if there is time for one that takes longer than
-// usual.
-constexpr std::int64_t RepeatTimeFactor = 2;
-// Part of the bound on repeats for failures that backend servers answered; the
-// rest stays for lost answers, whose callers otherwise get no answer.
-constexpr double FailureRepeatShare = 0.25;
-
 constexpr unsigned MaxBaselineAttempts = 4; // a first attempt and three retries
 constexpr unsigned MaxHomeAttempts = 3;
 // Attempts that reached no backend server, because a leaving owner refused them
@@ -218,22 +212,6 @@
   failRequest(Node, Id);
 }
 
-// A backend server can fail part of its requests while others of its service
-// are sound. Where the chain below the route has no capacity left, the failure
-// may be that of a rejected call, and a repeat would add to the overload.
-bool mayRepeatFailure(const NodeState &Node, const Request &Pending,
-                      const CallReply &Reply) {
-  if (!hasRouteTable(Node) || !hasFullPolicy(Node) ||
-      Reply.Response_.Status_ != InternalErrorStatus ||
-      !Pending.Context_.Idempotent_ || !Pending.Attempts_.empty() ||
-      Pending.AnsweredFailure_ || Pending.Context_.Tokens_ == 0)
-    return false;
-  bool HasCapacity = Reply.Load_.Shares_.Admitted_ == FullShares;
-  Micros TimeLeft = Pending.Deadline_ - Node.Now_;
-  Micros Expected = Node.CallTimes_.expected(Pending.Route_);
-  return HasCapacity && TimeLeft > RepeatTimeFactor * Expected;
-}
-
 // Repeats a request after a failure that its backend server answered, out of a
 // smaller part of the bound on repeats than after a lost answer. Returns false
 // if the failure is the final answer.
@@ -242,10 +220,8 @@
   if (!mayRepeatFailure(Node, Pending, Reply) ||
       !hasUntriedOwner(Node, Pending))
     return false;
-  RepeatBound Bound = repeatBound(Node);
-  Bound.Ratio_ *= FailureRepeatShare;
-  Bound.Slack_ *= FailureRepeatShare;
-  if (!Node.Repeats_[Pending.Service_].tryAcquire(Node.Now_, Bound))
+  if (!Node.Repeats_[Pending.Service_].tryAcquire(Node.Now_,
+                                                  failureRepeatBound(Node)))
     return false;
   --Pending.Context_.Tokens_;
   Pending.Context_.Repeat_ = true;
--- a/src/shell/http1_session.cpp
+++ b/src/shell/http1_server_session.cpp
@@ -1,81 +1,18 @@
 #include "fulmarshelf/detail/shell/http1_session.hpp"
 
-#include "fulmarshelf/detail/base/ids.hpp"       // parseNumber
 #include "fulmarshelf/detail/engine/answers.hpp" // notRun, toResponse
 
-#include <utility> // exchange, which Asio's coroutine headers need
+#include "http1_message.hpp" // copyFields, serialize
 
-#include <boost/asio/buffer.hpp>              // buffer, const_buffer
-#include <boost/beast/core/buffer_traits.hpp> // buffer_bytes
-#include <boost/beast/core/buffers_range.hpp> // buffers_range_ref
-#include <boost/beast/core/string.hpp>        // iequals
-#include <boost/beast/http/message.hpp>       // request, response
-#include <boost/beast/http/parser.hpp>        // request_parser
-#include <boost/beast/http/rfc7230.hpp>       // token_list
-#include <boost/beast/http/serializer.hpp>    // serializer
-#include <boost/beast/http/string_body.hpp>   // string_body
+#include <boost/beast/core/string.hpp> // iequals
 
 #include <deque>    // deque
 #include <optional> // optional
 
 namespace fulmarshelf {
 
-namespace asio = boost::asio;
-namespace http = boost::beast::http;
-using boost::system::error_code;
-
 namespace {
 
-// Returns true for fields that are never forwarded, since they apply to one
-// connection only or belong to the protocol between nodes.
-bool isNeverForwarded(std::string_view Name) {
-  for (std::string_view HopByHopField :
-       {"connection", "keep-alive", "transfer-encoding", "content-length",
-        "upgrade", "te", "trailer", "proxy-connection"})
-    if (equalsIgnoreCase(Name, HopByHopField))
-      return true;
-  // Fields of the protocol between nodes are not accepted from outside callers.
-  return Name.size() >= 3 && equalsIgnoreCase(Name.substr(0, 3), "fs-");
-}
-
-// The Connection field lists further fields that apply to one connection.
-template <typename Fields>
-bool isNamedByConnection(const Fields &From, const std::string &Name) {
-  return http::token_list(From[http::field::connection]).exists(Name);
-}
-
-template <typename Fields> std::vector<Header> copyFields(const Fields &From) {
-  std::vector<Header> Result;
-  for (const typename Fields::value_type &Field : From) {
-    std::string Name(Field.name_string().data(), Field.name_string().size());
-    if (!isNeverForwarded(Name) && !isNamedByConnection(From, Name))
-      Result.push_back(
-          {Name, std::string(Field.value().data(), Field.value().size())});
-  }
-  return Result;
-}
-
-template <typename Message>
-void insertFields(Message &To, const std::vector<Header> &Headers) {
-  for (const Header &Field : Headers)
-    if (!isNeverForwarded(Field.Name_))
-      To.insert(Field.Name_, Field.Value_);
-}
-
-template <bool IsRequest, typename Message>
-std::string serialize(Message &Content) {
-  std::string Bytes;
-  http::serializer<IsRequest, http::string_body> Writer(Content);
-  error_code Error;
-  while (!Error && !Writer.is_done())
-    Writer.next(Error, [&](error_code &, const auto &Buffers) {
-      for (asio::const_buffer Part : boost::beast::buffers_range_ref(Buffers))
-        Bytes.append(static_cast<const char *>(Part.data()), Part.size());
-      Writer.consume(boost::beast::buffer_bytes(Buffers));
-    });
-  return Bytes;
-}
-
 std::string serializeResponse(const HttpResponse &Response, bool KeepAlive,
                               bool HeadOnly) {
   http::response<http::string_body> Message;
@@ -386,150 +323,4 @@
          (!State_->Input_.empty() || State_->Parser_->got_some());
 }
 
-namespace {
-
-constexpr unsigned FirstFinalStatus = 200;
-
-// Parses `timeout=N` in whole seconds, less one second for bytes in transit.
-std::optional<std::chrono::milliseconds> parseIdleTime(std::string_view Field) {
-  constexpr std::string_view Name = "timeout=";
-  std::size_t Start = Field.find(Name);
-  if (Start == std::string_view::npos)
-    return std::nullopt;
-  std::string_view Digits = Field.substr(Start + Name.size());
-  Digits = Digits.substr(0, Digits.find_first_not_of("0123456789"));
-  std::uint64_t Seconds = 0;
-  if (Digits.size() > 6 || !parseNumber(std::string(Digits), Seconds))
-    return std::nullopt;
-  return std::chrono::milliseconds(Seconds == 0 ? 0 : (Seconds - 1) * 1000);
-}
-
-} // namespace
-
-struct HttpClientSession::State {
-  using Parser = http::response_parser<http::string_body>;
-
-  HttpLimits Limits_;
-  std::optional<Parser> Parser_;
-  std::string Input_;
-  bool HeadOnly_ = false;
-  bool Waiting_ = false;
-  bool Reusable_ = true;
-  std::optional<std::chrono::milliseconds> IdleTime_;
-
-  void resetParser() {
-    Parser_.emplace();
-    Parser_->eager(true);
-    Parser_->header_limit(Limits_.HeaderBytes_);
-    Parser_->body_limit(Limits_.BodyBytes_);
-    Parser_->skip(HeadOnly_);
-    Waiting_ = true;
-  }
-
-  ClientResult parse(HttpResponse &Response) {
-    while (!Input_.empty() && !Parser_->is_done()) {
-      error_code Error;
-      std::size_t Consumed = Parser_->put(asio::buffer(Input_), Error);
-      Input_.erase(0, Consumed);
-      if (Error == http::error::need_more)
-        break;
-      if (Error)
-        return fail();
-    }
-    // The parser leaves an incomplete chunk header or trailer in the input, and
-    // sets no limit on its size.
-    if (!Parser_->is_done() && Input_.size() > Limits_.HeaderBytes_)
-      return fail();
-    if (!Parser_->is_done())
-      return ClientResult::Waiting;
-    if (Parser_->get().result_int() < FirstFinalStatus) {
-      resetParser(); // an interim response; the final one follows
-      return parse(Response);
-    }
-    return finish(Response);
-  }
-
-  ClientResult finish(HttpResponse &Response) {
-    http::response<http::string_body> Message = Parser_->release();
-    Response = {};
-    Response.Status_ = static_cast<std::uint16_t>(Message.result_int());
-    Response.Headers_ = copyFields(Message.base());
-    Response.Body_ = std::move(Message.body());
-    // Bytes after a response belong to no request that this side sent, so the
-    // connection is not reused.
-    Reusable_ = Message.keep_alive() && Input_.empty();
-    IdleTime_ = parseIdleTime(
-        std::string_view(Message[http::field::keep_alive].data(),
-                         Message[http::field::keep_alive].size()));
-    Waiting_ = false;
-    return ClientResult::Answered;
-  }
-
-  ClientResult fail() {
-    Reusable_ = false;
-    Waiting_ = false;
-    return ClientResult::Broken;
-  }
-};
-
-HttpClientSession::HttpClientSession(const HttpLimits &Limits)
-    : State_(std::make_unique<State>()) {
-  State_->Limits_ = Limits;
-}
-
-HttpClientSession::HttpClientSession(HttpClientSession &&) noexcept = default;
-HttpClientSession &
-HttpClientSession::operator=(HttpClientSession &&) noexcept = default;
-HttpClientSession::~HttpClientSession() = default;
-
-std::string HttpClientSession::send(const HttpRequest &Request,
-                                    const std::string &Host) {
-  http::request<http::string_body> Message;
-  Message.version(11);
-  Message.method_string(Request.Method_);
-  Message.target(Request.Target_);
-  if (findHeader(Request.Headers_, "Host") == nullptr)
-    Message.set(http::field::host, Host);
-  insertFields(Message, Request.Headers_);
-  Message.body() = Request.Body_;
-  Message.prepare_payload();
-  State_->HeadOnly_ = Request.Method_ == "HEAD";
-  State_->resetParser();
-  return serialize<true>(Message);
-}
-
-ClientResult HttpClientSession::receive(std::string_view Bytes,
-                                        HttpResponse &Response) {
-  if (!State_->Waiting_)
-    return State_->fail();
-  State_->Input_.append(Bytes);
-  return State_->parse(Response);
-}
-
-ClientResult HttpClientSession::skipResponse(HttpResponse &Response) {
-  State_->resetParser();
-  return State_->parse(Response);
-}
-
-std::optional<std::chrono::milliseconds> HttpClientSession::idleTime() const {
-  return State_->IdleTime_;
-}
-
-ClientResult HttpClientSession::end(HttpResponse &Response) {
-  if (!State_->Waiting_ || !State_->Parser_->got_some())
-    return State_->fail();
-  error_code Error;
-  State_->Parser_->put_eof(Error);
-  if (Error || !State_->Parser_->is_done())
-    return State_->fail();
-  return State_->finish(Response);
-}
-
-std::size_t HttpClientSession::bufferedBytes() const {
-  std::size_t Size = State_->Input_.size();
-  return State_->Waiting_ ? Size + State_->Parser_->get().body().size() : Size;
-}
-
-bool HttpClientSession::isReusable() const { return State_->Reusable_; }
-
 } // namespace fulmarshelf
--- a/tests/mutants/mutants.py
+++ b/tests/mutants/mutants.py
@@ -19,27 +19,28 @@
 OWNER = "src/engine/owner_system.cpp"
 ENTRY = "src/engine/entry_system.cpp"
 
-SESSION = "src/shell/http1_session.cpp"
+SERVER_SESSION = "src/shell/http1_server_session.cpp"
+CLIENT_SESSION = "src/shell/http1_client_session.cpp"
 ENTRIES = "src/routing/entry_distribution.cpp"
 
 CORE = [
     Mutant(
         "responses-are-sent-as-they-become-ready",
-        SESSION,
+        SERVER_SESSION,
         "InProgress_[Index].Response_ = Response;",
         "InProgress_[0].Response_ = Response;",
         "unit",
     ),
     Mutant(
         "requests-behind-the-last-response-are-taken",
-        SESSION,
+        SERVER_SESSION,
         "if (!Next.KeepAlive_ || State_->CloseAfterResponse_)",
         "if (false)",
         "unit",
     ),
     Mutant(
         "incomplete-chunk-headers-have-no-limit",
-        SESSION,
+        CLIENT_SESSION,
         "if (!Parser_->is_done() && Input_.size() > Limits_.HeaderBytes_)\n      return fail();",
         "",
         "unit",
@@ -60,7 +61,7 @@
     ),
     Mutant(
         "failure-of-non-idempotent-request-is-repeated",
-        ATTEMPTS,
+        "src/engine/failure_repeat.cpp",
         "!Pending.Context_.Idempotent_ || !Pending.Attempts_.empty() ||",
         "!Pending.Attempts_.empty() ||",
         "golden",
