Answer no other request of a connection while its departure is handled

Cause: when a caller leaves with several requests in progress, they are reported to the core one after the other. Cancelling the first one can lead to an answer to another one, whose connection was removed already, and the process ended with std::out_of_range (unordered_map::at). Change: all callers of the connection are removed before the first report. Test: HttpServer AnswerDuringTheDepartureOfItsCallerIsIgnored, which ended with the same exception before.

--- a/src/shell/http_server.cpp
+++ b/src/shell/http_server.cpp
@@ -204,12 +204,15 @@
   std::deque<PendingRequest> Unanswered =
       std::move(ExchangeEntry->second.Pending_);
   erase(Source);
-  for (const PendingRequest &Request : Unanswered) {
-    if (Request.Answered_)
-      continue;
+  // The handler for one request may respond to another request of the same
+  // connection, so all callers are removed before the handler is called.
+  std::erase_if(Unanswered, [](const PendingRequest &Request) {
+    return Request.Answered_;
+  });
+  for (const PendingRequest &Request : Unanswered)
     Callers_.erase(Request.Caller_);
+  for (const PendingRequest &Request : Unanswered)
     Callbacks_.OnDisconnected_(Request.Caller_);
-  }
 }
 
 // Removes the requests whose responses are sent: those that wait for no earlier
