Keep the ports of the pipelining test below the ephemeral range, also with the offset

With FULMARSHELF_PORT_OFFSET=10000 a mesh of the test began at 33400, and the platform's stand-in found its port taken by an outgoing connection (ephemeral ports begin at 32768).

--- a/tests/failure/test_pipelining.py
+++ b/tests/failure/test_pipelining.py
@@ -84,7 +84,7 @@
 
 
 def requests_run_side_by_side_and_are_answered_in_order(checker, directory):
-    with start(directory, 23000, run_ms=400) as mesh:
+    with start(directory, 16200, run_ms=400) as mesh:
         for worker in mesh.of("front"):
             worker.admin("run-ms=20")
         entry = mesh.of("front")[0]
@@ -112,7 +112,7 @@
 
 
 def request_that_must_not_repeat_runs_alone(checker, directory):
-    with start(directory, 23200, run_ms=200) as mesh:
+    with start(directory, 16400, run_ms=200) as mesh:
         entry = mesh.of("front")[0]
         front = mesh.of("front")
         with connect(entry) as link:
@@ -141,7 +141,7 @@
 def requests_behind_the_last_answer_do_not_run(checker, directory):
     """A node that is asked to stop answers what it has passed on. What is behind
     the response that closes the connection has not run: its caller repeats it."""
-    with start(directory, 23400, run_ms=600) as mesh:
+    with start(directory, 16600, run_ms=600) as mesh:
         entry = mesh.of("front")[0]
         with connect(entry) as link:
             link.sendall(
@@ -167,7 +167,7 @@
 
 
 def departed_caller_cancels_all_its_requests(checker, directory):
-    with start(directory, 23600, run_ms=5000) as mesh:
+    with start(directory, 16800, run_ms=5000) as mesh:
         entry = mesh.of("front")[0]
         running = lambda: sum(w.backend_status()["running"] for w in mesh.of("front"))  # noqa: E731
         with connect(entry) as link:
@@ -181,7 +181,7 @@
 
 def more_requests_than_the_limit_wait_unread(checker, directory):
     """Bytes beyond the limits stay in the kernel; no request is lost."""
-    with start(directory, 23800, run_ms=30, slots=40) as mesh:
+    with start(directory, 18800, run_ms=30, slots=40) as mesh:
         entry = mesh.of("front")[0]
         count = 600
         with connect(entry) as link:
@@ -209,7 +209,7 @@
 def uploads_keep_memory_bounded(checker, directory):
     """Ten times the ordinary load: 400 callers send 300 KB each at the same time
     to one entry. Each one is served or told that its request did not run."""
-    with start(directory, 24000, run_ms=300, slots=30) as mesh:
+    with start(directory, 21200, run_ms=300, slots=30) as mesh:
         entry = mesh.of("front")[0]
         body = b"x" * (300 * KILOBYTE)
         answers = {}
@@ -257,7 +257,7 @@
 
 def incomplete_uploads_do_not_run(checker, directory):
     """Bodies that stall, are shorter than stated, or have broken chunks."""
-    with start(directory, 24200) as mesh:
+    with start(directory, 21400) as mesh:
         entry = mesh.of("front")[0]
         with connect(entry) as link:
             link.sendall(head("POST", "/upload/1", "short", ["Content-Length: 1000"]) + b"x" * 10)
@@ -354,7 +354,7 @@
 def answers_without_end_are_cut(checker, directory):
     """A backend server in trouble sends bytes until its peer closes. The owner
     closes at a bounded size and time, and each caller gets a final answer."""
-    with start(directory, 24400) as mesh:
+    with start(directory, 21600) as mesh:
         entry = mesh.of("front")[0]
         for worker in mesh.of("deep"):
             worker.backend_process.kill()
