Log and export the rate limit that a backend server names

No log line showed the limit, so it could not be told whether nodes ignore it, act on it too late or forget it at a restart.

Event 1610 shows each change, 1611 a value that cannot be read, and the metrics show the limit and the requests sent to the backend server. The logic is unchanged.

--- a/include/fulmarshelf/detail/base/event_log.hpp
+++ b/include/fulmarshelf/detail/base/event_log.hpp
@@ -54,6 +54,8 @@
   BackendDeparted = 1607,
   BackendNoticeIgnored = 1608,
   BackendNoticeMalformed = 1609,
+  BackendRateLimit = 1610,
+  BackendRateLimitMalformed = 1611,
   SettingsApplied = 1701,
   SettingsIgnored = 1702,
   SettingsRejected = 1703,
--- a/include/fulmarshelf/detail/engine/node_state.hpp
+++ b/include/fulmarshelf/detail/engine/node_state.hpp
@@ -165,6 +165,7 @@
   TimePoint LeaveStartedAt_; ///< when the process was asked to stop
   TimePoint LastArrival_;    ///< arrival of the last request over HTTP
 
+  std::uint64_t Dispatches_ = 0; ///< requests sent to the backend server
   std::uint64_t LastRequest_ = 0;
   std::uint64_t LastAttempt_ = 0;
   std::uint64_t LastWork_ = 0;
--- a/include/fulmarshelf/detail/engine/tables.hpp
+++ b/include/fulmarshelf/detail/engine/tables.hpp
@@ -124,6 +124,7 @@
   bool ReplacedUnannounced_ = false; ///< another incarnation has its address
   TimePoint LastHeardAt_;            ///< last announcement or answer
   TimePoint SuspectUntil_; ///< end of the pause after a refused connection
+  std::optional<double> RateLimit_; ///< requests a second that it last named
 };
 
 /// @brief A connection that this node opened.
--- a/include/fulmarshelf/detail/wire/http.hpp
+++ b/include/fulmarshelf/detail/wire/http.hpp
@@ -7,6 +7,7 @@
 #include <optional>    // optional
 #include <string>      // string
 #include <string_view> // string_view
+#include <variant>     // variant
 #include <vector>      // vector
 
 namespace fulmarshelf {
@@ -77,11 +78,30 @@
   friend bool operator==(const BackendLoad &, const BackendLoad &) = default;
 };
 
+/// @brief A rate limit that cannot be read.
+struct MalformedRateLimit {
+  std::string Detail_;
+  friend bool operator==(const MalformedRateLimit &,
+                         const MalformedRateLimit &) = default;
+};
+
+/// @brief Requests a second that a backend server accepts from all nodes
+/// together, as named by one response. Holds monostate when the response names
+/// no limit.
+using NamedRateLimit = std::variant<std::monostate, double, MalformedRateLimit>;
+
+/// @brief Parses the values of all fields of one response that name a rate
+/// limit. A limit is a decimal number without sign or exponent. The smallest
+/// one holds when a response names several.
+/// @param Values field values; an empty list yields monostate
+NamedRateLimit parseRateLimit(const std::vector<std::string_view> &Values);
+
 /// @brief Metadata that a backend server sends with its response.
 struct ResponseMetadata {
   bool NotExecuted_ = false;   ///< the backend server did not run the request
   bool OtherInstance_ = false; ///< answered by an unexpected incarnation
   std::optional<BackendLoad> Load_;
+  NamedRateLimit RateLimit_;
   friend bool operator==(const ResponseMetadata &,
                          const ResponseMetadata &) = default;
 };
@@ -97,6 +117,7 @@
 inline constexpr std::string_view Ticket = "Fulmarshelf-Ticket";
 inline constexpr std::string_view Replayed = "Fulmarshelf-Replayed";
 inline constexpr std::string_view RetryAfterMs = "Fulmarshelf-Retry-After-Ms";
+inline constexpr std::string_view RateLimit = "Fulmarshelf-Rate-Limit";
 inline constexpr std::string_view Shed = "Fulmarshelf-Shed";
 inline constexpr std::string_view IdempotencyKey = "Idempotency-Key";
 inline constexpr std::string_view RetryAfter = "Retry-After";
@@ -110,6 +131,10 @@
 const std::string *findHeader(const std::vector<Header> &Headers,
                               std::string_view Name);
 
+/// @brief Values of all headers with this name, in order; O(number of headers).
+std::vector<std::string_view> findHeaders(const std::vector<Header> &Headers,
+                                          std::string_view Name);
+
 /// @brief Service name in a target: the first path segment.
 /// @return an empty text when the target does not begin with a slash
 std::string serviceOf(std::string_view Target);
--- a/src/base/event_log.cpp
+++ b/src/base/event_log.cpp
@@ -11,7 +11,7 @@
   std::string_view Name_;
 };
 
-constexpr std::array<NamedEvent, 58> EventNames = {{
+constexpr std::array<NamedEvent, 60> EventNames = {{
     {EventNumber::RequestReceived, "request-received"},
     {EventNumber::RequestAnswered, "request-answered"},
     {EventNumber::RequestRefused, "request-refused"},
@@ -55,6 +55,8 @@
     {EventNumber::BackendDeparted, "backend-departed"},
     {EventNumber::BackendNoticeIgnored, "backend-notice-ignored"},
     {EventNumber::BackendNoticeMalformed, "backend-notice-malformed"},
+    {EventNumber::BackendRateLimit, "backend-rate-limit"},
+    {EventNumber::BackendRateLimitMalformed, "backend-rate-limit-malformed"},
     {EventNumber::SettingsApplied, "settings-applied"},
     {EventNumber::SettingsIgnored, "settings-ignored"},
     {EventNumber::SettingsRejected, "settings-rejected"},
--- a/src/engine/backend_system.cpp
+++ b/src/engine/backend_system.cpp
@@ -66,6 +66,10 @@
        {"sequence", std::to_string(Order.Sequence_)}});
 }
 
+std::string rateText(const std::optional<double> &Rate) {
+  return Rate ? std::to_string(*Rate) : "none";
+}
+
 // Discards the limit and the failure share learned from the previous
 // incarnation, since they do not apply to the next one.
 void startIncarnation(NodeState &Node) {
@@ -73,6 +77,7 @@
   Node.Failures_.restart();
   Node.Backend_.DepartedInstance_.clear();
   Node.Backend_.ReplacedUnannounced_ = false;
+  Node.Backend_.RateLimit_.reset();
 }
 
 } // namespace
@@ -135,6 +140,27 @@
   publishService(Node);
 }
 
+void onRateLimit(NodeState &Node, const NamedRateLimit &Named) {
+  Backend &Local = Node.Backend_;
+  const std::string &Instance = Local.Announcement_.Instance_;
+  if (const MalformedRateLimit *Fault =
+          std::get_if<MalformedRateLimit>(&Named)) {
+    log(Node, EventNumber::BackendRateLimitMalformed,
+        {{"instance", Instance}, {"detail", Fault->Detail_}});
+    return;
+  }
+  std::optional<double> Rate;
+  if (const double *Value = std::get_if<double>(&Named))
+    Rate = *Value;
+  if (Rate == Local.RateLimit_)
+    return;
+  log(Node, EventNumber::BackendRateLimit,
+      {{"instance", Instance},
+       {"rate", rateText(Rate)},
+       {"before", rateText(Local.RateLimit_)}});
+  Local.RateLimit_ = Rate;
+}
+
 void check(NodeState &Node) {
   Backend &Local = Node.Backend_;
   if (!Local.Announced_)
--- a/src/engine/owner_system.cpp
+++ b/src/engine/owner_system.cpp
@@ -333,6 +333,8 @@
   Node.Backend_.LastHeardAt_ = Node.Now_;
   if (Input.Metadata_.OtherInstance_)
     backend_system::onOtherInstance(Node);
+  else
+    backend_system::onRateLimit(Node, Input.Metadata_.RateLimit_);
   unsigned InFlight = Node.Running_;
   freeSlot(Node, Answered);
   if (NotExecuted) {
--- a/src/engine/work_slots.cpp
+++ b/src/engine/work_slots.cpp
@@ -35,6 +35,7 @@
   Started.Dispatched_ = Node.Now_;
   addRunningDeadline(Node, Started, distinctTimeout(Node, Started));
   ++Node.Running_;
+  ++Node.Dispatches_;
   if (Started.Long_)
     ++Node.LongRunning_;
   Node.MaxShortRunning_ =
--- a/src/wire/http.cpp
+++ b/src/wire/http.cpp
@@ -1,6 +1,8 @@
 #include "fulmarshelf/detail/wire/http.hpp"
 
-#include <algorithm> // equal
+#include <algorithm> // equal, min
+#include <charconv>  // from_chars
+#include <cmath>     // isfinite
 
 namespace fulmarshelf {
 
@@ -11,6 +13,10 @@
                                         : Letter;
 }
 
+bool isDigit(char Letter) { return Letter >= '0' && Letter <= '9'; }
+
+constexpr std::size_t MaxRateLimitBytes = 32;
+
 } // namespace
 
 bool equalsIgnoreCase(std::string_view Left, std::string_view Right) {
@@ -27,6 +33,34 @@
   return nullptr;
 }
 
+std::vector<std::string_view> findHeaders(const std::vector<Header> &Headers,
+                                          std::string_view Name) {
+  std::vector<std::string_view> Values;
+  for (const Header &Field : Headers)
+    if (equalsIgnoreCase(Field.Name_, Name))
+      Values.push_back(Field.Value_);
+  return Values;
+}
+
+NamedRateLimit parseRateLimit(const std::vector<std::string_view> &Values) {
+  NamedRateLimit Smallest;
+  for (std::string_view Value : Values) {
+    double Rate = 0;
+    const char *End = Value.data() + Value.size();
+    bool StartsWithDigit = !Value.empty() && isDigit(Value.front());
+    std::from_chars_result Parsed =
+        std::from_chars(Value.data(), End, Rate, std::chars_format::fixed);
+    if (!StartsWithDigit || Value.size() > MaxRateLimitBytes ||
+        Parsed.ec != std::errc() || Parsed.ptr != End || !std::isfinite(Rate))
+      return MalformedRateLimit{
+          "'" + std::string(Value.substr(0, MaxRateLimitBytes)) +
+          "' is not a decimal number"};
+    const double *Current = std::get_if<double>(&Smallest);
+    Smallest = Current == nullptr ? Rate : std::min(*Current, Rate);
+  }
+  return Smallest;
+}
+
 std::string_view pathOf(std::string_view Target) {
   return Target.substr(0, Target.find('?'));
 }
--- a/src/wire/native_interface.cpp
+++ b/src/wire/native_interface.cpp
@@ -51,6 +51,8 @@
   Metadata.NotExecuted_ =
       Response.Status_ == 503 &&
       findHeader(Response.Headers_, header::Shed) != nullptr;
+  Metadata.RateLimit_ =
+      parseRateLimit(findHeaders(Response.Headers_, header::RateLimit));
   return Metadata;
 }
 
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -256,6 +256,28 @@
           .Load_.has_value());
 }
 
+TEST(Platform, ResponsesNameRateLimits) {
+  auto Named = [this](std::vector<Header> Headers) {
+    return Dialect_.decodeResponse({500, std::move(Headers), {}}).RateLimit_;
+  };
+  auto IsMalformed = [&Named](const std::string &Text) {
+    return std::holds_alternative<MalformedRateLimit>(
+        Named({{"Server-Limit", Text}}));
+  };
+  CHECK(Named({}) == NamedRateLimit());
+  CHECK(Named({{"server-limit", "16.5"}}) == NamedRateLimit(16.5));
+  CHECK(Named({{"Server-Limit", "0"}}) == NamedRateLimit(0.0));
+  CHECK(Named({{"Server-Limit", "0.25"}}) == NamedRateLimit(0.25));
+  CHECK(Named({{"Server-Limit", "7"}, {"Server-Limit", "3"}}) ==
+        NamedRateLimit(3.0));
+  for (const char *Text : {"", "-1", "+1", "1e3", "inf", "nan", "0x10", "1,5",
+                           " 1", "1 ", "many", ".5"})
+    CHECK_TEXT(IsMalformed(Text), Text);
+  CHECK(IsMalformed(std::string(400, '9')));
+  CHECK(std::holds_alternative<MalformedRateLimit>(
+      Named({{"Server-Limit", "7"}, {"Server-Limit", "x"}})));
+}
+
 TEST(Platform, StorePagesAndCallsRoundTrip) {
   StorePage Page{9, {{"main", 4, false, "{\"a\":1}"}}, true};
   StorePage Read;
