--- a/tools/instance_standin.cpp
+++ b/tools/instance_standin.cpp
@@ -15,6 +15,7 @@
 #include <iostream>      // cerr
 #include <map>           // map
 #include <unordered_map> // unordered_map
+#include <vector>        // vector
 
 namespace {
 
@@ -40,6 +41,7 @@
   bool Draining_ = false;         ///< announces that it is draining
   std::uint64_t Refusals_ = 0;    ///< requests still to refuse as not run
   std::uint64_t LostAnswers_ = 0; ///< runs still to leave unanswered
+  std::string RateLimit_;         ///< named in responses; empty: none
 };
 
 struct Run {
@@ -112,6 +114,7 @@
                     encodeNotExecutedResponse(Dispatch, MisdirectedStatus));
       return;
     }
+    Arrivals_.push_back(nowMs());
     if (Faults_.Refusals_ > 0) {
       --Faults_.Refusals_;
       Http_.respond(Caller, encodeNotExecutedResponse(Dispatch, FullStatus));
@@ -153,8 +156,11 @@
       BackendLoad Load{static_cast<std::uint32_t>(Running_.size()),
                        static_cast<std::uint32_t>(Queued_.size()),
                        Shape_.Slots_, 100};
-      Http_.respond(Caller, encodeExecutedResponse(Dispatch, Load,
-                                                   responseBody(Dispatch)));
+      HttpResponse Response =
+          encodeExecutedResponse(Dispatch, Load, responseBody(Dispatch));
+      if (!Faults_.RateLimit_.empty())
+        Response.Headers_.push_back(encodeRateLimit(Faults_.RateLimit_));
+      Http_.respond(Caller, Response);
     }
     startQueued();
   }
@@ -186,6 +192,10 @@
     };
     if (pathOf(Request.Target_) == "/_admin/runs")
       return {200, {}, Json(Runs_).dump()};
+    if (pathOf(Request.Target_) == "/_admin/arrivals")
+      return {200, {}, Json(Arrivals_).dump()};
+    if (Request.Target_.find("rate-limit=") != std::string::npos)
+      Faults_.RateLimit_ = queryValue(Request.Target_, "rate-limit");
     Faults_.Mute_ = Read("mute", Faults_.Mute_ ? 1 : 0) != 0;
     Faults_.Draining_ = Read("drain", Faults_.Draining_ ? 1 : 0) != 0;
     Faults_.Refusals_ = Read("refuse", Faults_.Refusals_);
@@ -219,6 +229,7 @@
   std::deque<QueuedRun> Queued_;
   std::unordered_map<CallerKey, Run> Running_;
   std::map<std::string, std::uint64_t> Runs_;
+  std::vector<std::uint64_t> Arrivals_; ///< ms since 1970, of all requests
   std::uint64_t Misdirected_ = 0;
   boost::asio::steady_timer Timer_;
   HttpServer Http_;
--- a/tools/mesh.py
+++ b/tools/mesh.py
@@ -133,6 +133,10 @@
         code, _, text = http("GET", self.backend, "/_admin/runs")
         return json.loads(text) if code == 200 else {}
 
+    def arrivals(self):
+        """Times at which the instance stand-in received its requests, in ms."""
+        return json.loads(http("GET", self.backend, "/_admin/arrivals")[2])
+
     def stop_node(self, sig=signal.SIGTERM):
         os.kill(self.node_process.pid, sig)
 
