--- a/tools/instance_standin.cpp
+++ b/tools/instance_standin.cpp
@@ -42,6 +42,7 @@
   std::uint64_t Refusals_ = 0;    ///< requests still to refuse as not run
   std::uint64_t LostAnswers_ = 0; ///< runs still to leave unanswered
   std::string RateLimit_;         ///< named in responses; empty: none
+  bool Leaving_ = false;          ///< says in responses that it leaves
 };
 
 struct Run {
@@ -160,6 +161,8 @@
           encodeExecutedResponse(Dispatch, Load, responseBody(Dispatch));
       if (!Faults_.RateLimit_.empty())
         Response.Headers_.push_back(encodeRateLimit(Faults_.RateLimit_));
+      if (Faults_.Leaving_)
+        Response.Headers_.push_back(encodeLeaving());
       Http_.respond(Caller, Response);
     }
     startQueued();
@@ -198,6 +201,7 @@
       Faults_.RateLimit_ = queryValue(Request.Target_, "rate-limit");
     Faults_.Mute_ = Read("mute", Faults_.Mute_ ? 1 : 0) != 0;
     Faults_.Draining_ = Read("drain", Faults_.Draining_ ? 1 : 0) != 0;
+    Faults_.Leaving_ = Read("leaving", Faults_.Leaving_ ? 1 : 0) != 0;
     Faults_.Refusals_ = Read("refuse", Faults_.Refusals_);
     Faults_.LostAnswers_ = Read("lose-answers", Faults_.LostAnswers_);
     Shape_.RunTime_ = std::chrono::milliseconds(
