Apply the admitted share of other domains where the local one is smaller

Cause: an entry admitted a request above its own domain's share only if an owner elsewhere reported full shares. One importance short of full in one service of its chain (slotboard, 14 of 14 slots at the crest) made that an outright no.

The entry now applies the larger of its own share and the largest that another domain admits. Where all domains lack the same capacity the shares are equal, and nothing more is admitted than before.

--- a/include/fulmarshelf/detail/admission/admission_controller.hpp
+++ b/include/fulmarshelf/detail/admission/admission_controller.hpp
@@ -37,7 +37,19 @@
   /// credit is at least 1. So exactly the share is admitted, evenly spaced
   /// instead of at random. While the share is full, a lower credit is reset to
   /// its initial value, so that a short, small reduction rejects no request.
-  Decision decide(TimePoint Now, const std::string &Route, unsigned Importance);
+  ///
+  /// Load pattern: one domain has lost most of its capacity, and the others
+  /// admit nearly all requests. The entries of that domain apply the larger
+  /// share, since the requests above the local one are placed elsewhere. Where
+  /// all domains lack the same capacity, the shares are equal and nothing more
+  /// is admitted.
+  /// @param ShareElsewhere largest share that another failure domain admits
+  Decision decide(TimePoint Now, const std::string &Route, unsigned Importance,
+                  double ShareElsewhere = 0);
+
+  /// @brief True when every request of the route and importance is admitted.
+  bool admitsAll(TimePoint Now, const std::string &Route,
+                 unsigned Importance) const;
 
   /// @brief Returns how many requests an admitted one represents: itself and
   /// those of its route and importance that were decided on and not admitted
--- a/include/fulmarshelf/detail/engine/owner_search.hpp
+++ b/include/fulmarshelf/detail/engine/owner_search.hpp
@@ -25,9 +25,9 @@
 /// accepts. O(owners examined)
 OwnerOptions findOwners(NodeState &Node, const Request &Pending);
 
-/// @brief True when an owner in another failure domain reported spare capacity
-/// for a request that the local failure domain would shed. O(owners)
-bool hasCapacityInOtherDomain(NodeState &Node, const Request &Pending);
+/// @brief Largest share of such requests that an owner in another failure
+/// domain admits, 0 to 1; only owners with spare slots count. O(owners)
+double shareInOtherDomains(NodeState &Node, const Request &Pending);
 
 /// @brief Stores the placement weight of a request and whether it is placed in
 /// the root's failure domain, for the demand meters of the owners. Also records
--- a/include/fulmarshelf/detail/routing/owner_choice.hpp
+++ b/include/fulmarshelf/detail/routing/owner_choice.hpp
@@ -52,11 +52,11 @@
   /// @brief Share of calls that fail through a fault of the owner's backend
   /// server, from a recent report of the owner; 0 without one.
   double failureShare(TimePoint Now) const;
-  /// @brief True when the owner recently reported that it and all its
-  /// downstream services admit every request of the route and importance, and
-  /// that it has spare slots.
-  bool hasSpareCapacity(TimePoint Now, const std::string &Route,
-                        unsigned Importance) const;
+  /// @brief Share of the requests of a route and importance that the owner and
+  /// all its downstream services admit, from a recent report of an owner that
+  /// has spare slots; 0 otherwise.
+  double admittedShare(TimePoint Now, const std::string &Route,
+                       unsigned Importance) const;
   /// @brief Share of a route's calls for which the owner and its downstream
   /// services have capacity; 1 without a recent report.
   /// @param SameDomain whether the root of the call chain is in the owner's
--- a/src/admission/admission_controller.cpp
+++ b/src/admission/admission_controller.cpp
@@ -26,12 +26,13 @@
 
 AdmissionController::Decision
 AdmissionController::decide(TimePoint Now, const std::string &Route,
-                            unsigned Importance) {
+                            unsigned Importance, double ShareElsewhere) {
   if (!ReportedShares_.contains(Route))
     return {};
   std::size_t ImportanceIndex =
       std::min<std::size_t>(Importance, ImportanceCount - 1);
-  double Share = ReportedShares_.share(Now, Route, ImportanceIndex);
+  double Share = std::max(ShareElsewhere,
+                          ReportedShares_.share(Now, Route, ImportanceIndex));
   Credits &RouteCredits = Credits_[Route];
   RouteCredits.Unrepresented_[ImportanceIndex] += 1;
   double &Credit = RouteCredits.Balances_[ImportanceIndex];
@@ -44,6 +45,13 @@
   return {Admitted, Share};
 }
 
+bool AdmissionController::admitsAll(TimePoint Now, const std::string &Route,
+                                    unsigned Importance) const {
+  return ReportedShares_.share(
+             Now, Route,
+             std::min<std::size_t>(Importance, ImportanceCount - 1)) >= 1;
+}
+
 double AdmissionController::takeRepresented(const std::string &Route,
                                             unsigned Importance) {
   auto Existing = Credits_.find(Route);
--- a/src/engine/entry_admission.cpp
+++ b/src/engine/entry_admission.cpp
@@ -1,7 +1,7 @@
 #include "entry_admission.hpp"
 
-#include "fulmarshelf/detail/engine/answers.hpp"      // notRun
-#include "fulmarshelf/detail/engine/owner_search.hpp" // hasCapacityInOtherDomain
+#include "fulmarshelf/detail/engine/answers.hpp"       // notRun
+#include "fulmarshelf/detail/engine/owner_search.hpp"  // shareInOtherDomains
 #include "fulmarshelf/detail/engine/parent_search.hpp" // findMatchingParent
 
 #include <random> // uniform_real_distribution
@@ -65,9 +65,14 @@
   if (inheritFromMatchedParent(Node, NewRequest) ||
       Node.Graph_.origin(NewRequest.Route_) != RouteOrigin::Callers)
     return std::nullopt;
-  AdmissionController::Decision Decision =
-      Node.Admission_.decide(Node.Now_, NewRequest.Route_, Rules.Importance_);
-  if (!Decision.Admitted_ && !hasCapacityInOtherDomain(Node, NewRequest))
+  const std::string &Route = NewRequest.Route_;
+  double ShareElsewhere =
+      Node.Admission_.admitsAll(Node.Now_, Route, Rules.Importance_)
+          ? 0
+          : shareInOtherDomains(Node, NewRequest);
+  AdmissionController::Decision Decision = Node.Admission_.decide(
+      Node.Now_, Route, Rules.Importance_, ShareElsewhere);
+  if (!Decision.Admitted_)
     return AdmissionRejection{
         notRun(ErrorCode::Shed, rejectionRetryAfter(Node, Rules)),
         "share " + std::to_string(Decision.Share_) + " of route " +
--- a/src/engine/owner_search.cpp
+++ b/src/engine/owner_search.cpp
@@ -173,17 +173,18 @@
   return Options;
 }
 
-bool hasCapacityInOtherDomain(NodeState &Node, const Request &Pending) {
+double shareInOtherDomains(NodeState &Node, const Request &Pending) {
   unsigned Importance = importanceOf(Pending.Context_.Rank_);
   const ServiceOwners Owners =
       Node.Owners_.owners(Node.Membership_, Pending.Service_);
+  double Largest = 0;
   for (const Member &Owner : Owners.Preferred_) {
     const OwnerView &View = Node.Peers_[Owner.Node_].Owner_;
-    if (roundTripTo(Node, Owner) > Micros(0) &&
-        View.hasSpareCapacity(Node.Now_, Pending.Route_, Importance))
-      return true;
+    if (roundTripTo(Node, Owner) > Micros(0))
+      Largest = std::max(
+          Largest, View.admittedShare(Node.Now_, Pending.Route_, Importance));
   }
-  return false;
+  return Largest;
 }
 
 void recordPlacement(NodeState &Node, Request &Pending,
--- a/src/routing/owner_choice.cpp
+++ b/src/routing/owner_choice.cpp
@@ -100,16 +100,18 @@
       static_cast<double>(Existing->second.count()) * slowness(Now)));
 }
 
-bool OwnerView::hasSpareCapacity(TimePoint Now, const std::string &Route,
-                                 unsigned Importance) const {
+double OwnerView::admittedShare(TimePoint Now, const std::string &Route,
+                                unsigned Importance) const {
   auto Existing = Levels_.find(Route);
   if (Existing == Levels_.end() ||
       Now - Existing->second.ReceivedAt_ > LevelLifetime)
-    return false;
+    return 0;
   std::size_t Index = std::min<std::size_t>(Importance, ImportanceCount - 1);
   unsigned Load = Report_.InFlight_ + Report_.Queued_ + SentSinceReport_;
-  return Existing->second.Shares_.Admitted_[Index] == FullShare &&
-         Load < SpareCapacityLoad * Report_.Limit_ && !isLeaving(Now);
+  if (Load >= SpareCapacityLoad * Report_.Limit_ || isLeaving(Now))
+    return 0;
+  return static_cast<double>(Existing->second.Shares_.Admitted_[Index]) /
+         FullShare;
 }
 
 double OwnerView::share(TimePoint Now, const std::string &Route,
--- a/tests/unit/overload_test.cpp
+++ b/tests/unit/overload_test.cpp
@@ -131,6 +131,24 @@
 
 // Matches by chance do not classify a route as called by work. A request with a
 // later deadline than all work is a caller's request.
+// One of three domains has lost four fifths of its capacity, the others admit
+// nearly all requests.
+TEST(Overload, LimitedDomainAppliesTheShareOfTheOthers) {
+  AdmissionController Admission;
+  AdmittedShares Local = FullShares;
+  Local.fill(FullShare / 5);
+  for (int Round = 0; Round < 100; ++Round)
+    Admission.learn(Now_, "r", Local);
+  int Admitted = 0;
+  for (int Round = 0; Round < 1000; ++Round)
+    Admitted += Admission.decide(Now_, "r", 7, 0.9).Admitted_ ? 1 : 0;
+  CHECK(Admitted >= 895 && Admitted <= 905);
+  Admitted = 0;
+  for (int Round = 0; Round < 1000; ++Round)
+    Admitted += Admission.decide(Now_, "r", 7, 0.2).Admitted_ ? 1 : 0;
+  CHECK(Admitted >= 195 && Admitted <= 205);
+}
+
 TEST(Overload, CallsAreDistinguishedFromCallerRequests) {
   CallGraph Graph;
   for (int Round = 0; Round < 20; ++Round) {
