Stop sending requests to a backend server that says in a response that it leaves

What callers of such a server saw: requests went to it until its departure notice or its last connection.

Cause: the node learned of a departure from notices only. Some servers send none in time; their responses say so earlier (Server-Leaving: 1).

A response of the current incarnation now has the effect of a departure notice.

--- a/include/fulmarshelf/detail/wire/http.hpp
+++ b/include/fulmarshelf/detail/wire/http.hpp
@@ -102,6 +102,7 @@
   bool OtherInstance_ = false; ///< answered by an unexpected incarnation
   std::optional<BackendLoad> Load_;
   NamedRateLimit RateLimit_;
+  bool Leaving_ = false; ///< the backend server leaves permanently
   friend bool operator==(const ResponseMetadata &,
                          const ResponseMetadata &) = default;
 };
@@ -117,6 +118,7 @@
 inline constexpr std::string_view Ticket = "Fulmarshelf-Ticket";
 inline constexpr std::string_view Replayed = "Fulmarshelf-Replayed";
 inline constexpr std::string_view RetryAfterMs = "Fulmarshelf-Retry-After-Ms";
+inline constexpr std::string_view Leaving = "Fulmarshelf-Leaving";
 inline constexpr std::string_view RateLimit = "Fulmarshelf-Rate-Limit";
 inline constexpr std::string_view Shed = "Fulmarshelf-Shed";
 inline constexpr std::string_view IdempotencyKey = "Idempotency-Key";
--- a/src/engine/backend_system.cpp
+++ b/src/engine/backend_system.cpp
@@ -115,21 +115,44 @@
     owner_system::refuseQueued(Node, ErrorCode::Leaving);
 }
 
-void depart(NodeState &Node, const BackendDeparted &Input) {
+namespace {
+
+// Sends no new work to the current incarnation. Later announcements of it are
+// outdated.
+void stopServing(NodeState &Node) {
   Backend &Local = Node.Backend_;
-  bool Present =
-      Local.Announced_ && Local.Announcement_.Instance_ == Input.Instance_;
-  log(Node, EventNumber::BackendDeparted,
-      {{"instance", Input.Instance_}, {"present", Present ? "yes" : "no"}});
-  if (!Present)
-    return;
-  Local.DepartedInstance_ = Input.Instance_;
+  Local.DepartedInstance_ = Local.Announcement_.Instance_;
   Local.Announcement_.State_ = BackendState::Draining;
   publishService(Node);
   Node.Membership_.broadcast({});
   owner_system::refuseQueued(Node, ErrorCode::Leaving);
 }
 
+void applyLeaving(NodeState &Node) {
+  Backend &Local = Node.Backend_;
+  if (Local.Announcement_.State_ == BackendState::Draining)
+    return;
+  log(Node, EventNumber::BackendDeparted,
+      {{"instance", Local.Announcement_.Instance_},
+       {"present", "yes"},
+       {"source", "response"}});
+  stopServing(Node);
+}
+
+} // namespace
+
+void depart(NodeState &Node, const BackendDeparted &Input) {
+  const Backend &Local = Node.Backend_;
+  bool Present =
+      Local.Announced_ && Local.Announcement_.Instance_ == Input.Instance_;
+  log(Node, EventNumber::BackendDeparted,
+      {{"instance", Input.Instance_},
+       {"present", Present ? "yes" : "no"},
+       {"source", "notice"}});
+  if (Present)
+    stopServing(Node);
+}
+
 void onOtherInstance(NodeState &Node) {
   Backend &Local = Node.Backend_;
   if (Local.ReplacedUnannounced_)
@@ -175,6 +198,8 @@
     return;
   Node.Backend_.HasAnswered_ = true;
   applyRateLimit(Node, SentAt, Metadata.RateLimit_);
+  if (Metadata.Leaving_)
+    applyLeaving(Node);
 }
 
 void check(NodeState &Node) {
--- a/src/wire/native_interface.cpp
+++ b/src/wire/native_interface.cpp
@@ -51,6 +51,7 @@
   Metadata.NotExecuted_ =
       Response.Status_ == 503 &&
       findHeader(Response.Headers_, header::Shed) != nullptr;
+  Metadata.Leaving_ = valueOf(Response.Headers_, header::Leaving) == "1";
   Metadata.RateLimit_ =
       parseRateLimit(findHeaders(Response.Headers_, header::RateLimit));
   return Metadata;
--- a/tests/golden/runner.cpp
+++ b/tests/golden/runner.cpp
@@ -65,6 +65,7 @@
   Add("request-id", header::RequestId);
   Add("shed", header::Shed);
   Add("rate-limit", header::RateLimit);
+  Add("server-leaving", header::Leaving);
   return Headers;
 }
 
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -278,6 +278,13 @@
       Named({{"Server-Limit", "7"}, {"Server-Limit", "x"}})));
 }
 
+TEST(Platform, ResponsesSayThatTheServerLeaves) {
+  CHECK_FALSE(Dialect_.decodeResponse({200, {}, {}}).Leaving_);
+  CHECK(Dialect_.decodeResponse({500, {{"server-leaving", "1"}}, {}}).Leaving_);
+  CHECK_FALSE(
+      Dialect_.decodeResponse({200, {{"Server-Leaving", "0"}}, {}}).Leaving_);
+}
+
 TEST(Platform, StorePagesAndCallsRoundTrip) {
   StorePage Page{9, {{"main", 4, false, "{\"a\":1}"}}, true};
   StorePage Read;
