Log which requests were in progress when a backend server crashed

The logs had a line for each lost request, but not that a server had ended, nor what the requests lost at several crashes have in common: all requests of a kind have the same path prefix.

Event 1612 names the incarnation and the digests of method, host, target, credentials and body of the requests in progress. A crash is recorded when the server refuses a connection or another incarnation announces itself after lost requests, without an answer in between. The logic is unchanged.

--- a/include/fulmarshelf/detail/base/event_log.hpp
+++ b/include/fulmarshelf/detail/base/event_log.hpp
@@ -56,6 +56,7 @@
   BackendNoticeMalformed = 1609,
   BackendRateLimit = 1610,
   BackendRateLimitMalformed = 1611,
+  BackendCrashed = 1612,
   SettingsApplied = 1701,
   SettingsIgnored = 1702,
   SettingsRejected = 1703,
--- a/include/fulmarshelf/detail/engine/node_state.hpp
+++ b/include/fulmarshelf/detail/engine/node_state.hpp
@@ -12,6 +12,7 @@
 #include "fulmarshelf/detail/engine/actions.hpp"               // Action
 #include "fulmarshelf/detail/engine/tables.hpp"                // Request, Work
 #include "fulmarshelf/detail/membership/membership.hpp"        // Membership
+#include "fulmarshelf/detail/quarantine/crash_detector.hpp"    // CrashDetector
 #include "fulmarshelf/detail/retry/repeat_window.hpp"          // RepeatWindow
 #include "fulmarshelf/detail/retry/retry_budget.hpp"           // RetryBudget
 #include "fulmarshelf/detail/revocation/attempt_ledger.hpp"    // AttemptLedger
@@ -142,6 +143,7 @@
   DemandMeter Demand_;            ///< demand for this node's backend server
   AdmissionController Admission_; ///< for requests at this entry
   FailureMeter Failures_;         ///< failures of this node's backend server
+  CrashDetector Crashes_;         ///< of this node's backend server
   EntryDistribution Entries_; ///< of the routes that this VM's service serves
   TimePoint NextVmShares_;    ///< next count of the VMs for Entries_
   DomainShareTable DomainShares_; ///< shares of the local failure domain
--- a/include/fulmarshelf/detail/engine/systems.hpp
+++ b/include/fulmarshelf/detail/engine/systems.hpp
@@ -101,6 +101,9 @@
 /// @brief Maintains the state of this node's backend server.
 namespace backend_system {
 void announce(NodeState &Node, const BackendAnnounced &Input);
+/// @brief Handles a sign that the backend server has ended unannounced: it
+/// refuses connections, or another incarnation announces itself.
+void onCrashConfirmed(NodeState &Node);
 /// @brief Handles the leave notice of the backend server, which then receives
 /// no new work.
 void depart(NodeState &Node, const BackendDeparted &Input);
--- /dev/null
+++ b/include/fulmarshelf/detail/quarantine/crash_detector.hpp
@@ -0,0 +1,47 @@
+#ifndef FULMARSHELF_DETAIL_QUARANTINE_CRASH_DETECTOR_HPP
+#define FULMARSHELF_DETAIL_QUARANTINE_CRASH_DETECTOR_HPP
+
+#include "fulmarshelf/detail/base/time.hpp"                 // TimePoint
+#include "fulmarshelf/detail/quarantine/request_digest.hpp" // RequestDigest
+
+#include <cstddef> // size_t
+#include <vector>  // vector
+
+namespace fulmarshelf {
+
+/// @brief Finds the requests that were in progress at a backend server when it
+/// crashed.
+///
+/// A lost connection alone does not show a crash: a faulty server loses single
+/// answers. The crash is confirmed when the server then refuses a connection or
+/// another incarnation announces itself, without an answer in between.
+class CrashDetector {
+public:
+  /// @brief A request that had been sent ended without an answer, because its
+  /// connection was closed.
+  void onLost(TimePoint Now, const RequestDigest &Digest);
+
+  /// @brief The server answered, so it had not crashed.
+  void onAnswer(TimePoint Now);
+
+  /// @brief The server leaves as planned, or another node state makes the lost
+  /// requests no evidence.
+  void reset() { Lost_.clear(); }
+
+  /// @brief The server has ended without having announced it.
+  /// @return requests in progress at that time, each once; empty when there
+  /// were none or they were lost too long ago
+  std::vector<RequestDigest> confirm(TimePoint Now);
+
+private:
+  struct LostRequest {
+    TimePoint At_;
+    RequestDigest Digest_;
+  };
+
+  std::vector<LostRequest> Lost_; ///< in order of time, at most MaxLost
+};
+
+} // namespace fulmarshelf
+
+#endif
--- a/src/base/event_log.cpp
+++ b/src/base/event_log.cpp
@@ -11,7 +11,7 @@
   std::string_view Name_;
 };
 
-constexpr std::array<NamedEvent, 60> EventNames = {{
+constexpr std::array<NamedEvent, 61> EventNames = {{
     {EventNumber::RequestReceived, "request-received"},
     {EventNumber::RequestAnswered, "request-answered"},
     {EventNumber::RequestRefused, "request-refused"},
@@ -57,6 +57,7 @@
     {EventNumber::BackendNoticeMalformed, "backend-notice-malformed"},
     {EventNumber::BackendRateLimit, "backend-rate-limit"},
     {EventNumber::BackendRateLimitMalformed, "backend-rate-limit-malformed"},
+    {EventNumber::BackendCrashed, "backend-crashed"},
     {EventNumber::SettingsApplied, "settings-applied"},
     {EventNumber::SettingsIgnored, "settings-ignored"},
     {EventNumber::SettingsRejected, "settings-rejected"},
--- a/src/engine/backend_system.cpp
+++ b/src/engine/backend_system.cpp
@@ -1,5 +1,7 @@
 #include "fulmarshelf/detail/engine/systems.hpp" // backend_system
 
+#include <algorithm> // min
+
 namespace fulmarshelf::backend_system {
 
 namespace {
@@ -84,6 +86,21 @@
 
 } // namespace
 
+void onCrashConfirmed(NodeState &Node) {
+  constexpr std::size_t MaxLogged = 10;
+  std::vector<RequestDigest> InProgress = Node.Crashes_.confirm(Node.Now_);
+  if (InProgress.empty())
+    return;
+  std::string Requests;
+  for (std::size_t Index = 0; Index < std::min(MaxLogged, InProgress.size());
+       ++Index)
+    Requests += (Index == 0 ? "" : ",") + toString(InProgress[Index]);
+  log(Node, EventNumber::BackendCrashed,
+      {{"instance", Node.Backend_.Announcement_.Instance_},
+       {"in_progress", std::to_string(InProgress.size())},
+       {"requests", Requests}});
+}
+
 void announce(NodeState &Node, const BackendAnnounced &Input) {
   const Announcement &Received = Input.Announcement_;
   Backend &Local = Node.Backend_;
@@ -95,8 +112,10 @@
   bool WasUnannounced = !Local.Announced_;
   if (Local.Announcement_.Instance_ != Received.Instance_ ||
       (Input.Order_ && Local.Order_ &&
-       Input.Order_->StartedMs_ != Local.Order_->StartedMs_))
+       Input.Order_->StartedMs_ != Local.Order_->StartedMs_)) {
+    onCrashConfirmed(Node);
     startIncarnation(Node);
+  }
   Local.Announced_ = true;
   Local.Announcement_ = Received;
   Local.Order_ = Input.Order_;
@@ -111,8 +130,10 @@
   logAnnouncement(Node, EventNumber::BackendAnnounced, Input);
   publishService(Node);
   Node.Membership_.broadcast({});
-  if (Received.State_ == BackendState::Draining)
+  if (Received.State_ == BackendState::Draining) {
+    Node.Crashes_.reset();
     owner_system::refuseQueued(Node, ErrorCode::Leaving);
+  }
 }
 
 namespace {
@@ -121,6 +142,7 @@
 // outdated.
 void stopServing(NodeState &Node) {
   Backend &Local = Node.Backend_;
+  Node.Crashes_.reset();
   Local.DepartedInstance_ = Local.Announcement_.Instance_;
   Local.Announcement_.State_ = BackendState::Draining;
   publishService(Node);
@@ -197,6 +219,7 @@
   if (SentAt < Node.Backend_.IncarnationSince_)
     return;
   Node.Backend_.HasAnswered_ = true;
+  Node.Crashes_.onAnswer(Node.Now_);
   applyRateLimit(Node, SentAt, Metadata.RateLimit_);
   if (Metadata.Leaving_)
     applyLeaving(Node);
--- a/src/engine/owner_system.cpp
+++ b/src/engine/owner_system.cpp
@@ -208,6 +208,19 @@
              importanceOf(admissionLevel(Node, NewWork.Long_));
 }
 
+// A request of a server that leaves is no evidence of a crash, since such a
+// server may close its connections.
+void recordLoss(NodeState &Node, const Work &Lost, bool NeverSent) {
+  const Backend &Local = Node.Backend_;
+  bool IsLeaving = Local.Announcement_.State_ == BackendState::Draining;
+  if (IsLeaving || Lost.Dispatched_ < Local.IncarnationSince_)
+    return;
+  if (NeverSent)
+    backend_system::onCrashConfirmed(Node);
+  else
+    Node.Crashes_.onLost(Node.Now_, digestOf(Lost.Http_));
+}
+
 void recordShortWork(NodeState &Node, const Work &NewWork) {
   std::size_t Importance = std::min<std::size_t>(
       ImportanceCount - 1, importanceOf(NewWork.Context_.Rank_));
@@ -376,6 +389,7 @@
   if (Entry == Node.Works_.end())
     return;
   freeSlot(Node, Entry->second);
+  recordLoss(Node, Entry->second, NeverSent);
   Node.Limit_.onOverload(Node.Now_, Node.Running_ + 1);
   Node.Failures_.onCallEnded(Node.Now_, true);
   if (NeverSent)
