--- a/tools/instance_standin.cpp
+++ b/tools/instance_standin.cpp
@@ -2,7 +2,7 @@
 // itself to its node as an instance, serves any path after a fixed time, and
 // marks its response to a request that it did not run. Admin calls can restart
 // it as another instance, and make it refuse requests, drop responses or stop
-// its heartbeats.
+// its heartbeats. A request for a given target can end the process.
 #include "fulmarshelf/detail/shell/announcement_codec.hpp" // queryValue
 #include "fulmarshelf/detail/shell/http_client.hpp"        // HttpClient
 #include "fulmarshelf/detail/shell/http_server.hpp"        // HttpServer
@@ -11,6 +11,7 @@
 #include <nlohmann/json.hpp> // json
 #include <tclap/CmdLine.h>   // CmdLine
 
+#include <cstdlib>       // _Exit
 #include <deque>         // deque
 #include <iostream>      // cerr
 #include <map>           // map
@@ -24,6 +25,8 @@
 
 constexpr std::size_t MaxConnections = 4096;
 constexpr std::chrono::milliseconds HeartbeatInterval{500};
+constexpr std::chrono::milliseconds TimeToCrash{10};
+constexpr int CrashExitCode = 70;
 constexpr std::uint16_t MisdirectedStatus = 421;
 constexpr std::uint16_t FullStatus = 503;
 
@@ -34,6 +37,8 @@
   Endpoint Node_;
   unsigned Slots_ = 1;
   std::chrono::milliseconds RunTime_{20};
+  /// Part of the targets whose requests end the process; empty: none.
+  std::string CrashTarget_;
 };
 
 struct Faults {
@@ -53,6 +58,7 @@
 struct QueuedRun {
   CallerKey Caller_;
   ReceivedDispatch Dispatch_;
+  bool Crashes_ = false; ///< its run ends the process
 };
 
 std::uint64_t nowMs() {
@@ -121,7 +127,10 @@
       Http_.respond(Caller, encodeNotExecutedResponse(Dispatch, FullStatus));
       return;
     }
-    Queued_.push_back({Caller, Dispatch});
+    bool Crashes =
+        !Shape_.CrashTarget_.empty() &&
+        Request.Target_.find(Shape_.CrashTarget_) != std::string::npos;
+    Queued_.push_back({Caller, Dispatch, Crashes});
     startQueued();
   }
 
@@ -136,6 +145,8 @@
   void start(const QueuedRun &Next) {
     ++Runs_[Next.Dispatch_.RequestId_];
     CallerKey Caller = Next.Caller_;
+    if (Next.Crashes_)
+      crashSoon();
     auto Timer =
         std::make_shared<boost::asio::steady_timer>(Context_, Shape_.RunTime_);
     Timer->async_wait([this, Caller](boost::system::error_code Error) {
@@ -145,6 +156,13 @@
     Running_[Caller] = {Next.Dispatch_, Timer};
   }
 
+  void crashSoon() {
+    auto Timer =
+        std::make_shared<boost::asio::steady_timer>(Context_, TimeToCrash);
+    Timer->async_wait(
+        [Timer](boost::system::error_code) { std::_Exit(CrashExitCode); });
+  }
+
   void finish(CallerKey Caller) {
     auto Found = Running_.find(Caller);
     if (Found == Running_.end())
@@ -258,13 +276,17 @@
       "number", Line);
   TCLAP::ValueArg<unsigned> RunMs("t", "run-ms", "service time of a request",
                                   false, 20, "milliseconds", Line);
+  TCLAP::ValueArg<std::string> CrashTarget(
+      "c", "crash-target", "part of the targets whose requests end the process",
+      false, "", "text", Line);
   Line.parse(Count, Arguments);
   Shape Config{Service.getValue(),
                Instance.getValue(),
                {},
                {},
                Slots.getValue(),
-               std::chrono::milliseconds(RunMs.getValue())};
+               std::chrono::milliseconds(RunMs.getValue()),
+               CrashTarget.getValue()};
   if (!parseEndpoint(Address.getValue(), Config.Address_) ||
       !parseEndpoint(Node.getValue(), Config.Node_) || Config.Slots_ == 0) {
     std::cerr << "instance_standin: needs IP:PORT for --listen and --node, and "
--- a/tools/route_mesh.py
+++ b/tools/route_mesh.py
@@ -17,9 +17,12 @@
     """Four nodes, two for each service; the nodes named in `apart` use the
     second address of the store."""
 
-    def __init__(self, directory, base_port, apart=(), slots=8, run_ms=20):
+    def __init__(self, directory, base_port, apart=(), slots=8, run_ms=20, workers=None):
         super().__init__(
-            "kwan", directory, workers={"front": 2, "deep": 2}, base_port=base_port
+            "kwan",
+            directory,
+            workers=workers or {"front": 2, "deep": 2},
+            base_port=base_port,
         )
         self.apart = apart
         self.slots = slots
