Set aside requests that crash the backend servers which run them

Cause: the bounds on repeats apply to one caller's attempt or to the sum of all repeats. Nothing recognised a request that comes again under another id, at another entry, and each arrival was sent to a second server after it had ended the first. The class of the fault: state that is kept per attempt where the harm is done per request.

Requests are identified by a BLAKE2b digest of method, host, target, credentials and body. The owner reports the digests that were in progress when its server crashed; the report reaches all nodes by gossip, and a restarted node gets the evidence with its first sync. All requests in progress look alike at one crash, so evidence is tested: lost requests run again, but few suspects at a time, and strong ones alone. A request that is served starts anew. It is set aside for 5 s when no other request in progress had been at a crash before, for 10 minutes after three crashes, and each refused attempt extends that. Its callers get 500 without Retry-After at once. A server that says it leaves, answers after a lost connection, or ends with nothing in progress gives no evidence.

A request in progress at a lost connection is sent to two servers at most.

Ruled out: the path alone as identity (all requests of one kind share its prefix in the reports, but the last segment differs), and refusing every request that was in progress at two crashes (repeats of the innocent run together, and a frequent request is at nearly all crashes).

--- a/include/fulmarshelf/detail/admission/work_queue.hpp
+++ b/include/fulmarshelf/detail/admission/work_queue.hpp
@@ -48,15 +48,14 @@
   bool remove(WorkId Work);
 
   /// @brief Dequeues the next work to run.
-  /// @param LongAllowed predicate on an importance: whether long work of that
-  /// importance may occupy a slot
+  /// @param MayRun predicate on queued work: whether it may occupy a slot now
   /// @return nullopt when no queued work may run now; O(n) in the worst case,
-  /// when long work has to be skipped
+  /// when work has to be skipped
   template <typename Predicate>
-  std::optional<QueuedWork> pop(Predicate LongAllowed) {
+  std::optional<QueuedWork> pop(Predicate MayRun) {
     for (auto Entry = Queue_.begin(); Entry != Queue_.end(); ++Entry) {
       QueuedWork Queued = Entry->second;
-      if (Queued.Long_ && !LongAllowed(importanceOf(Queued.Rank_)))
+      if (!MayRun(Queued))
         continue;
       erase(Entry);
       return Queued;
--- a/include/fulmarshelf/detail/base/error.hpp
+++ b/include/fulmarshelf/detail/base/error.hpp
@@ -50,6 +50,7 @@
   BackendRefused = 321,
   BackendReplaced = 322,
   HeaderTooLarge = 323,
+  SetAside = 324,
 };
 
 /// @brief Stable name of an error, such as `bad-value`; O(1).
--- a/include/fulmarshelf/detail/base/event_log.hpp
+++ b/include/fulmarshelf/detail/base/event_log.hpp
@@ -57,6 +57,8 @@
   BackendRateLimit = 1610,
   BackendRateLimitMalformed = 1611,
   BackendCrashed = 1612,
+  RequestSetAside = 1613,
+  RequestCleared = 1614,
   SettingsApplied = 1701,
   SettingsIgnored = 1702,
   SettingsRejected = 1703,
--- a/include/fulmarshelf/detail/engine/inputs.hpp
+++ b/include/fulmarshelf/detail/engine/inputs.hpp
@@ -3,6 +3,7 @@
 
 #include "fulmarshelf/detail/base/ids.hpp"                  // CallerKey
 #include "fulmarshelf/detail/membership/gossip_message.hpp" // SyncMessage
+#include "fulmarshelf/detail/quarantine/request_digest.hpp" // RequestDigest
 #include "fulmarshelf/detail/settings/registry.hpp"         // SubtreeVersion
 #include "fulmarshelf/detail/wire/http.hpp"                 // HttpRequest
 #include "fulmarshelf/detail/wire/messages.hpp"             // CallMessage
@@ -205,17 +206,24 @@
   Collection Collection_ = Collection::Teams; ///< for a list or a watch
 };
 
+/// @brief The operator releases a request that is set aside.
+struct QuarantineReleased {
+  RequestDigest Digest_;
+};
+
 /// @brief The process was asked to stop.
 struct LeaveRequested {};
 
 /// @brief All inputs of a node except the passing of time.
-using Input = std::variant<
-    CallerArrived, CallerDisconnected, CallArrived, CallStreamClosed,
-    ReplyArrived, AttemptStreamClosed, RevokeArrived, RevokeAnswered,
-    SyncArrived, SyncAnswered, LinkEstablished, LinkClosed, LinkActivity,
-    BackendAnnounced, BackendDeparted, BackendAnswered, BackendFailed,
-    DatagramArrived, StoreListed, StoreUnreadable, StoreNodesListed,
-    StoreWatched, StoreAnnounced, StoreFailed, LeaveRequested>;
+using Input =
+    std::variant<CallerArrived, CallerDisconnected, CallArrived,
+                 CallStreamClosed, ReplyArrived, AttemptStreamClosed,
+                 RevokeArrived, RevokeAnswered, SyncArrived, SyncAnswered,
+                 LinkEstablished, LinkClosed, LinkActivity, BackendAnnounced,
+                 BackendDeparted, BackendAnswered, BackendFailed,
+                 DatagramArrived, StoreListed, StoreUnreadable,
+                 StoreNodesListed, StoreWatched, StoreAnnounced, StoreFailed,
+                 QuarantineReleased, LeaveRequested>;
 
 } // namespace fulmarshelf
 
--- a/include/fulmarshelf/detail/engine/node_state.hpp
+++ b/include/fulmarshelf/detail/engine/node_state.hpp
@@ -13,6 +13,7 @@
 #include "fulmarshelf/detail/engine/tables.hpp"                // Request, Work
 #include "fulmarshelf/detail/membership/membership.hpp"        // Membership
 #include "fulmarshelf/detail/quarantine/crash_detector.hpp"    // CrashDetector
+#include "fulmarshelf/detail/quarantine/quarantine.hpp"        // Quarantine
 #include "fulmarshelf/detail/retry/repeat_window.hpp"          // RepeatWindow
 #include "fulmarshelf/detail/retry/retry_budget.hpp"           // RetryBudget
 #include "fulmarshelf/detail/revocation/attempt_ledger.hpp"    // AttemptLedger
@@ -104,6 +105,16 @@
   TimePoint UpdatedAt_;
 };
 
+/// @brief News about crashing requests that is still sent to other nodes.
+struct QuarantineSpread {
+  struct PendingNews {
+    QuarantineNews News_;
+    unsigned RemainingRounds_ = 0;
+  };
+  std::vector<PendingNews> Pending_;
+  bool TimerSet_ = false;
+};
+
 /// @brief All tables of one node. The systems are functions over this state and
 /// hold no other state.
 struct NodeState {
@@ -144,6 +155,8 @@
   AdmissionController Admission_; ///< for requests at this entry
   FailureMeter Failures_;         ///< failures of this node's backend server
   CrashDetector Crashes_;         ///< of this node's backend server
+  Quarantine Quarantine_;
+  QuarantineSpread QuarantineSpread_;
   EntryDistribution Entries_; ///< of the routes that this VM's service serves
   TimePoint NextVmShares_;    ///< next count of the VMs for Entries_
   DomainShareTable DomainShares_; ///< shares of the local failure domain
@@ -163,6 +176,8 @@
       LastShortWorkAt_{}; ///< start of the last short work, by importance
   unsigned Running_ = 0;
   unsigned LongRunning_ = 0;
+  unsigned RunningSuspects_ = 0;
+  unsigned RunningStrongSuspects_ = 0;
   double MaxShortRunning_ = 0; ///< recent maximum number of running short work
   bool LevelTimerSet_ = false;
   bool SweepTimerSet_ = false;
--- a/include/fulmarshelf/detail/engine/systems.hpp
+++ b/include/fulmarshelf/detail/engine/systems.hpp
@@ -119,6 +119,28 @@
 bool isServing(const NodeState &Node);
 } // namespace backend_system
 
+/// @brief Recognises requests that crash backend servers, and tells the other
+/// nodes about them.
+namespace quarantine_system {
+/// @brief Records a crash of this node's backend server.
+void onCrash(NodeState &Node, const std::vector<RequestDigest> &InProgress);
+/// @brief The backend server answered a request.
+void onServed(NodeState &Node, Work &Answered);
+/// @brief Handles news from another node and passes on what is new.
+void onNews(NodeState &Node, const QuarantineNews &News);
+/// @brief Sends pending news to some members.
+void spread(NodeState &Node);
+/// @brief Handles the operator's release of a request.
+void onReleased(NodeState &Node, const QuarantineReleased &Input);
+/// @brief Suspicion against work, which includes that an answer to its request
+/// was lost before.
+Suspicion suspicionOf(const NodeState &Node, Work &Current);
+/// @brief Suspicion against a request at its entry.
+Suspicion suspicionOf(const NodeState &Node, const HttpRequest &Request);
+/// @brief Counts a request that was refused because it is set aside.
+void onRejected(NodeState &Node, const HttpRequest &Request);
+} // namespace quarantine_system
+
 /// @brief Maintains connections to peers and closes silent ones.
 namespace link_system {
 /// @brief Returns the connection to a member and opens one when there is none.
--- a/include/fulmarshelf/detail/engine/tables.hpp
+++ b/include/fulmarshelf/detail/engine/tables.hpp
@@ -1,11 +1,12 @@
 #ifndef FULMARSHELF_DETAIL_ENGINE_TABLES_HPP
 #define FULMARSHELF_DETAIL_ENGINE_TABLES_HPP
 
-#include "fulmarshelf/detail/base/ids.hpp"             // RequestId, WorkId
-#include "fulmarshelf/detail/base/time.hpp"            // TimePoint
-#include "fulmarshelf/detail/engine/inputs.hpp"        // Announcement
-#include "fulmarshelf/detail/routing/owner_choice.hpp" // OwnerView
-#include "fulmarshelf/detail/wire/messages.hpp"        // CallContext
+#include "fulmarshelf/detail/base/ids.hpp"              // RequestId, WorkId
+#include "fulmarshelf/detail/base/time.hpp"             // TimePoint
+#include "fulmarshelf/detail/engine/inputs.hpp"         // Announcement
+#include "fulmarshelf/detail/quarantine/quarantine.hpp" // Suspicion
+#include "fulmarshelf/detail/routing/owner_choice.hpp"  // OwnerView
+#include "fulmarshelf/detail/wire/messages.hpp"         // CallContext
 
 #include <cstdint>  // uint64_t
 #include <map>      // map
@@ -46,6 +47,7 @@
   unsigned AttemptCount_ = 0; ///< attempts started at an owner or ticket home
   bool NextAttemptPaid_ = false; ///< a token was spent on the next attempt
   bool MayHaveRun_ = false;      ///< an ended attempt may have run
+  unsigned LostAttempts_ = 0;    ///< attempts whose answer was lost
   /// Failure that a backend server answered before the request was repeated.
   std::optional<CallReply> AnsweredFailure_;
   Micros RetryAfter_{0};
@@ -111,6 +113,9 @@
   TimePoint LastCallEnd_;     ///< last answer to a matched call, or the start
   bool Long_ = false;
   Rank ChildLevel_ = 0; ///< highest level reported to its calls
+  /// Computed when there is evidence against any request.
+  std::optional<RequestDigest> Digest_;
+  Suspicion StartedAs_ = Suspicion::None; ///< suspicion at its dispatch
   std::map<std::string, ChildCall> Calls_;
 };
 
@@ -165,6 +170,7 @@
   SettingsSync,
   TicketExpiry,
   LeaveCheck,
+  QuarantineSpread,
 };
 
 /// @brief A scheduled run of a system; timers of entities that no longer exist
--- a/include/fulmarshelf/detail/membership/gossip_message.hpp
+++ b/include/fulmarshelf/detail/membership/gossip_message.hpp
@@ -1,8 +1,9 @@
 #ifndef FULMARSHELF_DETAIL_MEMBERSHIP_GOSSIP_MESSAGE_HPP
 #define FULMARSHELF_DETAIL_MEMBERSHIP_GOSSIP_MESSAGE_HPP
 
-#include "fulmarshelf/detail/membership/member.hpp" // Member
-#include "fulmarshelf/detail/settings/registry.hpp" // SubtreeVersion
+#include "fulmarshelf/detail/membership/member.hpp"       // Member
+#include "fulmarshelf/detail/quarantine/crash_report.hpp" // CrashReport
+#include "fulmarshelf/detail/settings/registry.hpp"       // SubtreeVersion
 
 #include <cstdint> // uint8_t, uint64_t
 #include <string>  // string
@@ -16,6 +17,7 @@
   Ack,            ///< answers a Ping
   PingRequest,    ///< requests a Ping of Target_ on behalf of the sender
   SettingsUpdate, ///< announces a settings version; expects no answer
+  Quarantine,     ///< news about crashing requests; expects no answer
 };
 
 /// @brief Version of a settings subtree, without its text.
@@ -37,6 +39,7 @@
   std::uint64_t MembersDigest_ = 0;
   std::vector<Member> Members_;
   std::vector<SettingsVersion> SettingsUpdates_;
+  QuarantineNews Quarantine_;
   friend bool operator==(const GossipMessage &,
                          const GossipMessage &) = default;
 };
@@ -56,6 +59,7 @@
   std::vector<Member> Members_; ///< empty when the members digests agree
   /// Subtrees of which the peer has a newer version than the requester.
   std::vector<SubtreeVersion> Subtrees_;
+  std::vector<CrashEvidence> Evidence_; ///< against crashing requests
   friend bool operator==(const SyncReply &, const SyncReply &) = default;
 };
 
--- a/include/fulmarshelf/detail/membership/membership.hpp
+++ b/include/fulmarshelf/detail/membership/membership.hpp
@@ -52,6 +52,9 @@
   /// @brief Sends settings updates to some members immediately.
   void broadcast(const std::vector<SettingsVersion> &Updates);
 
+  /// @brief Sends news about crashing requests to some members immediately.
+  void broadcastNews(const QuarantineNews &News);
+
   /// @brief Other members that can receive requests: alive or suspected.
   std::vector<Member> available() const;
   /// @brief All other known members, including dead and leaving ones until they
@@ -110,6 +113,7 @@
   unsigned broadcastCount() const;
   std::string nextTarget();
   std::vector<Member> sampleSameDomain(std::size_t Count);
+  std::vector<Member> broadcastTargets();
 
   Member Self_;
   std::mt19937_64 &Random_;
--- a/include/fulmarshelf/detail/wire/messages.hpp
+++ b/include/fulmarshelf/detail/wire/messages.hpp
@@ -96,7 +96,8 @@
   double PlacementWeight_ = 1; ///< calls to the owner that it represents
   bool InRootDomain_ = true;   ///< the whole chain is in the root's domain
   bool Idempotent_ = true;
-  bool Repeat_ = false; ///< a backend server may already have run this request
+  bool Repeat_ = false;  ///< a backend server may already have run this request
+  bool Suspect_ = false; ///< a backend server lost its answer before
   friend bool operator==(const CallContext &, const CallContext &) = default;
 };
 
--- a/src/base/error.cpp
+++ b/src/base/error.cpp
@@ -11,7 +11,7 @@
   std::string_view Name_;
 };
 
-constexpr std::array<NamedError, 36> ErrorNames = {{
+constexpr std::array<NamedError, 37> ErrorNames = {{
     {ErrorCode::SyntaxError, "syntax-error"},
     {ErrorCode::UnknownSection, "unknown-section"},
     {ErrorCode::UnknownKey, "unknown-key"},
@@ -48,6 +48,7 @@
     {ErrorCode::BackendRefused, "backend-refused"},
     {ErrorCode::BackendReplaced, "backend-replaced"},
     {ErrorCode::HeaderTooLarge, "header-too-large"},
+    {ErrorCode::SetAside, "set-aside"},
 }};
 
 } // namespace
--- a/src/base/event_log.cpp
+++ b/src/base/event_log.cpp
@@ -11,7 +11,7 @@
   std::string_view Name_;
 };
 
-constexpr std::array<NamedEvent, 61> EventNames = {{
+constexpr std::array<NamedEvent, 63> EventNames = {{
     {EventNumber::RequestReceived, "request-received"},
     {EventNumber::RequestAnswered, "request-answered"},
     {EventNumber::RequestRefused, "request-refused"},
@@ -58,6 +58,8 @@
     {EventNumber::BackendRateLimit, "backend-rate-limit"},
     {EventNumber::BackendRateLimitMalformed, "backend-rate-limit-malformed"},
     {EventNumber::BackendCrashed, "backend-crashed"},
+    {EventNumber::RequestSetAside, "request-set-aside"},
+    {EventNumber::RequestCleared, "request-cleared"},
     {EventNumber::SettingsApplied, "settings-applied"},
     {EventNumber::SettingsIgnored, "settings-ignored"},
     {EventNumber::SettingsRejected, "settings-rejected"},
--- a/src/engine/answers.cpp
+++ b/src/engine/answers.cpp
@@ -33,6 +33,9 @@
     return "the request's retries are spent";
   case ErrorCode::SettingsUnavailable:
     return "the node has no settings yet";
+  case ErrorCode::SetAside:
+    return "backend servers crashed while they ran this request; do not repeat "
+           "it, and report it to the operators";
   default:
     return "see docs/ERRORS.md";
   }
@@ -74,6 +77,8 @@
     return 428;
   case ErrorCode::RetryLimit:
     return 429;
+  case ErrorCode::SetAside:
+    return 500;
   case ErrorCode::OutcomeUnknown:
   case ErrorCode::BackendFailed:
   case ErrorCode::TicketHomeGone:
--- a/src/engine/attempt_system.cpp
+++ b/src/engine/attempt_system.cpp
@@ -20,6 +20,7 @@
 // or they could not be sent, cost no token, but their number is bounded as
 // well.
 constexpr unsigned MaxFreeAttempts = 2;
+constexpr unsigned MaxLostAttempts = 2;
 constexpr Micros MinHedgeDelay = millis(5);
 constexpr int HedgeFactor = 2;
 constexpr Micros MinRetryAfter = millis(200);
@@ -43,7 +44,10 @@
     answer_system::finish(Node, Id, CallReply(*Pending.AnsweredFailure_));
     return;
   }
-  CallReply Reply = Pending.MayHaveRun_
+  // The request may have run in an earlier attempt of its caller.
+  bool MayHaveRun =
+      Pending.MayHaveRun_ || Pending.LastError_ == ErrorCode::SetAside;
+  CallReply Reply = MayHaveRun
                         ? unknownOutcome(Pending.LastError_)
                         : notRun(Pending.LastError_, retryAfter(Pending));
   answer_system::finish(Node, Id, Reply);
@@ -196,6 +200,14 @@
   return !findOwners(Node, Pending).Accepting_.empty();
 }
 
+// A request that may crash backend servers runs at two of them at most.
+bool mayRunAgain(const NodeState &Node, const Request &Pending) {
+  return Pending.LostAttempts_ < MaxLostAttempts &&
+         Pending.LastError_ != ErrorCode::SetAside &&
+         quarantine_system::suspicionOf(Node, Pending.Http_) <
+             Suspicion::StrongSuspect;
+}
+
 // Retries at an owner that was not tried yet; fails the request when there is
 // none, the deadline has passed, the retry is denied, or the request might run
 // twice. Does nothing while another attempt is in progress.
@@ -204,8 +216,8 @@
   if (!Pending.Attempts_.empty())
     return;
   bool Safe = Pending.Context_.Idempotent_ || !Pending.MayHaveRun_;
-  if (Safe && Node.Now_ < Pending.Deadline_ && hasUntriedOwner(Node, Pending) &&
-      acquireRetry(Node, Pending)) {
+  if (Safe && mayRunAgain(Node, Pending) && Node.Now_ < Pending.Deadline_ &&
+      hasUntriedOwner(Node, Pending) && acquireRetry(Node, Pending)) {
     retry(Node, Id);
     return;
   }
@@ -348,6 +360,11 @@
   Pending.RetryAfter_ = std::max(Pending.RetryAfter_, Reply.RetryAfter_);
   if (Reply.Outcome_ == Outcome::Unknown)
     Pending.MayHaveRun_ = true;
+  if (Reply.Outcome_ == Outcome::Unknown &&
+      Reply.Error_ == ErrorCode::BackendFailed) {
+    ++Pending.LostAttempts_;
+    Pending.Context_.Suspect_ = true;
+  }
   bool IsFree = hasRouteTable(Node) ? isFreeRefusal(Reply)
                                     : Reply.Outcome_ == Outcome::NotRun &&
                                           Reply.Error_ == ErrorCode::Leaving;
--- a/src/engine/backend_system.cpp
+++ b/src/engine/backend_system.cpp
@@ -99,6 +99,7 @@
       {{"instance", Node.Backend_.Announcement_.Instance_},
        {"in_progress", std::to_string(InProgress.size())},
        {"requests", Requests}});
+  quarantine_system::onCrash(Node, InProgress);
 }
 
 void announce(NodeState &Node, const BackendAnnounced &Input) {
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -90,6 +90,9 @@
   void operator()(const StoreUnreadable &Input) const {
     settings_system::onUnreadable(Node_, Input);
   }
+  void operator()(const QuarantineReleased &Input) const {
+    quarantine_system::onReleased(Node_, Input);
+  }
   void operator()(const LeaveRequested &) const { leave_system::begin(Node_); }
 };
 
@@ -155,9 +158,13 @@
     return settings_system::tick(State_);
   case TimerKind::TicketExpiry:
     State_.Tickets_.expire(State_.Now_);
+    State_.Quarantine_.expire(State_.Now_);
     link_system::removeFormerMembers(State_);
     setTimer(State_, TicketExpiryInterval, TimerKind::TicketExpiry);
     return;
+  case TimerKind::QuarantineSpread:
+    State_.QuarantineSpread_.TimerSet_ = false;
+    return quarantine_system::spread(State_);
   case TimerKind::LeaveCheck:
     return leave_system::check(State_);
   }
--- a/src/engine/entry_system.cpp
+++ b/src/engine/entry_system.cpp
@@ -442,6 +442,13 @@
            "the node stops before the request could be finished");
     return;
   }
+  if (quarantine_system::suspicionOf(Node, NewRequest.Http_) ==
+      Suspicion::SetAside) {
+    quarantine_system::onRejected(Node, NewRequest.Http_);
+    refuse(Node, NewRequest, unknownOutcome(ErrorCode::SetAside),
+           toString(digestOf(NewRequest.Http_)));
+    return;
+  }
   Node.Budgets_[NewRequest.Service_].onFirstAttempt(Rules->RetrySharePercent_);
   if (hasRouteTable(Node))
     Node.Repeats_[NewRequest.Service_].onFirstAttempt(Node.Now_,
--- a/src/engine/membership_system.cpp
+++ b/src/engine/membership_system.cpp
@@ -42,6 +42,8 @@
     return;
   Node.Membership_.receive(Node.Now_, Input.From_, Message);
   settings_system::onSettingsUpdate(Node, Message);
+  if (!Message.Quarantine_.empty())
+    quarantine_system::onNews(Node, Message.Quarantine_);
 }
 
 void tick(NodeState &Node) {
--- a/src/engine/owner_system.cpp
+++ b/src/engine/owner_system.cpp
@@ -127,6 +127,10 @@
   clearTimer(Node, Ended.StopAt_, TimerKind::WorkDeadline, Ended.Id_.Value_);
   if (Ended.Long_)
     --Node.LongRunning_;
+  if (Ended.StartedAs_ == Suspicion::Suspect)
+    --Node.RunningSuspects_;
+  if (Ended.StartedAs_ == Suspicion::StrongSuspect)
+    --Node.RunningStrongSuspects_;
 }
 
 Micros retryAfter(const NodeState &Node, Rank WorkRank) {
@@ -307,6 +311,10 @@
   }
   Work NewWork = makeWork(Node, Attempt, Waiter, Context, Http);
   QueuedWork Queued = makeQueuedWork(Node, NewWork);
+  if (quarantine_system::suspicionOf(Node, NewWork) == Suspicion::SetAside) {
+    refuse(Node, Attempt, Waiter, Context, ErrorCode::SetAside);
+    return;
+  }
   recordShortWork(Node, NewWork);
   measureDemand(Node, NewWork);
   recordEntry(Node, NewWork);
@@ -348,6 +356,8 @@
     backend_system::onAnswer(Node, Answered.Dispatched_, Input.Metadata_);
   unsigned InFlight = Node.Running_;
   freeSlot(Node, Answered);
+  if (!NotExecuted)
+    quarantine_system::onServed(Node, Answered);
   if (NotExecuted) {
     Node.Limit_.onOverload(Node.Now_, InFlight);
     levelOf(Node, Answered.Long_).onEviction();
--- a/src/engine/settings_system.cpp
+++ b/src/engine/settings_system.cpp
@@ -23,6 +23,7 @@
 // time; an update by gossip reaches it sooner.
 constexpr Micros TableRecheckInterval = millis(1000);
 constexpr std::size_t WatchersPerDomain = 2;
+constexpr std::size_t MaxSyncedEvidence = 64;
 constexpr unsigned EarlyNodeListCount = 3;
 constexpr unsigned UpdateRepeatRounds = 2;
 constexpr Micros EarlyNodeListInterval = millis(2000);
@@ -382,11 +383,13 @@
     if (Subtree.Version_ > PeerVersion)
       Reply.Subtrees_.push_back(Subtree);
   }
+  Reply.Evidence_ = Node.Quarantine_.evidence(Node.Now_, MaxSyncedEvidence);
   emit(Node, AnswerSync{Input.Stream_, Reply});
 }
 
 void onSyncAnswered(NodeState &Node, const SyncAnswered &Input) {
   Node.Membership_.learn(Node.Now_, Input.Reply_.Members_);
+  Node.Quarantine_.learnEvidence(Node.Now_, Input.Reply_.Evidence_);
   applyAll(Node, Input.Reply_.Subtrees_, "peer");
   if (Input.Reply_.Serving_)
     beginServing(Node, "peer");
--- a/src/engine/work_slots.cpp
+++ b/src/engine/work_slots.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr double MaxLongSlotShare = 0.7;
+constexpr double MaxSuspectShare = 0.125;
+constexpr unsigned MinSuspects = 2;
 constexpr double ReservedToPeakRatio = 1.5;
 constexpr double PeakDecayPerWindow = 0.98;
 constexpr Micros RecentShortWorkTime = millis(1000);
@@ -36,6 +38,11 @@
   Started.Dispatched_ = Node.Now_;
   addRunningDeadline(Node, Started, distinctTimeout(Node, Started));
   Node.Rate_.acquire(Node.Now_);
+  Started.StartedAs_ = quarantine_system::suspicionOf(Node, Started);
+  if (Started.StartedAs_ == Suspicion::Suspect)
+    ++Node.RunningSuspects_;
+  if (Started.StartedAs_ == Suspicion::StrongSuspect)
+    ++Node.RunningStrongSuspects_;
   ++Node.Running_;
   ++Node.Dispatches_;
   if (Started.Long_)
@@ -86,15 +93,45 @@
   return Node.LongRunning_ + Reserved < std::max(Limit, Reserved + 1);
 }
 
+// Few suspects run at a time and strong suspects alone among them, so that a
+// further crash tells them apart. Work that is set aside is taken from the
+// queue to be refused.
+bool mayRunSuspect(const NodeState &Node, Suspicion Value) {
+  switch (Value) {
+  case Suspicion::None:
+  case Suspicion::SetAside:
+    return true;
+  case Suspicion::Suspect:
+    return Node.RunningStrongSuspects_ == 0 &&
+           Node.RunningSuspects_ <
+               std::max(MinSuspects,
+                        static_cast<unsigned>(MaxSuspectShare *
+                                              Node.Limit_.limit()));
+  case Suspicion::StrongSuspect:
+    return Node.RunningStrongSuspects_ == 0 && Node.RunningSuspects_ == 0;
+  }
+  return true;
+}
+
+bool mayOccupySlot(NodeState &Node, const QueuedWork &Queued) {
+  bool MayRun = !Queued.Long_ || !hasFullPolicy(Node) ||
+                mayDispatchLongWork(Node, importanceOf(Queued.Rank_));
+  return MayRun && mayRunSuspect(Node, quarantine_system::suspicionOf(
+                                           Node, Node.Works_.at(Queued.Work_)));
+}
+
 void fillSlots(NodeState &Node) {
   while (mayDispatch(Node)) {
     std::optional<QueuedWork> Next =
-        Node.Queue_.pop([&Node](unsigned Importance) {
-          return !hasFullPolicy(Node) || mayDispatchLongWork(Node, Importance);
+        Node.Queue_.pop([&Node](const QueuedWork &Queued) {
+          return mayOccupySlot(Node, Queued);
         });
     if (!Next)
       return;
-    if (Next->StartBy_ < Node.Now_)
+    if (quarantine_system::suspicionOf(Node, Node.Works_.at(Next->Work_)) ==
+        Suspicion::SetAside)
+      evict(Node, *Next, ErrorCode::SetAside);
+    else if (Next->StartBy_ < Node.Now_)
       evict(Node, *Next, ErrorCode::Shed);
     else
       dispatch(Node, *Next);
@@ -188,7 +225,7 @@
 
 void refuseQueued(NodeState &Node, ErrorCode Error) {
   while (std::optional<QueuedWork> Queued =
-             Node.Queue_.pop([](unsigned) { return true; }))
+             Node.Queue_.pop([](const QueuedWork &) { return true; }))
     evict(Node, *Queued, Error);
 }
 
--- a/src/membership/gossip_codec.cpp
+++ b/src/membership/gossip_codec.cpp
@@ -8,6 +8,10 @@
 
 using Json = nlohmann::json;
 
+// Nodes of earlier versions send fewer fields.
+constexpr std::size_t QuarantineField = 9;
+constexpr std::size_t EvidenceField = 3;
+
 // Arrays instead of objects keep the field names out of the datagrams.
 Json toJson(const Endpoint &Address) {
   return Json::array({Address.Address_, Address.Port_});
@@ -29,6 +33,17 @@
       {Subtree.Path_, Subtree.Version_, Subtree.Deleted_, Subtree.Text_});
 }
 
+Json toJson(const RequestDigest &Digest) {
+  return Json::array({Digest.High_, Digest.Low_});
+}
+
+// The lists in these elements need the templates below.
+Json toJson(const CrashReport &Report);
+Json toJson(const CrashEvidence &Evidence);
+void fromJson(const Json &Source, RequestDigest &Decoded);
+void fromJson(const Json &Source, CrashReport &Decoded);
+void fromJson(const Json &Source, CrashEvidence &Decoded);
+
 template <typename T> Json listToJson(const std::vector<T> &Values) {
   Json List = Json::array();
   for (const T &Value : Values)
@@ -78,6 +93,29 @@
   }
 }
 
+Json toJson(const CrashReport &Report) {
+  return Json::array({Report.Crash_, listToJson(Report.InProgress_)});
+}
+
+Json toJson(const CrashEvidence &Evidence) {
+  return Json::array({toJson(Evidence.Digest_), Evidence.Crashes_});
+}
+
+void fromJson(const Json &Source, RequestDigest &Decoded) {
+  Source.at(0).get_to(Decoded.High_);
+  Source.at(1).get_to(Decoded.Low_);
+}
+
+void fromJson(const Json &Source, CrashReport &Decoded) {
+  Source.at(0).get_to(Decoded.Crash_);
+  listFromJson(Source.at(1), Decoded.InProgress_);
+}
+
+void fromJson(const Json &Source, CrashEvidence &Decoded) {
+  fromJson(Source.at(0), Decoded.Digest_);
+  Source.at(1).get_to(Decoded.Crashes_);
+}
+
 std::string encodeJson(const Json &Document) {
   std::string Bytes;
   Json::to_cbor(Document, Bytes);
@@ -104,18 +142,23 @@
 } // namespace
 
 std::string encode(const GossipMessage &Message) {
-  return encodeJson(Json::array(
+  Json Fields = Json::array(
       {static_cast<unsigned>(Message.Kind_), Message.Sequence_, Message.From_,
        Message.Target_, toJson(Message.TargetPeer_), Message.SettingsDigest_,
        Message.MembersDigest_, listToJson(Message.Members_),
-       listToJson(Message.SettingsUpdates_)}));
+       listToJson(Message.SettingsUpdates_)});
+  if (!Message.Quarantine_.empty()) {
+    Fields.push_back(listToJson(Message.Quarantine_.Crashes_));
+    Fields.push_back(listToJson(Message.Quarantine_.Cleared_));
+  }
+  return encodeJson(Fields);
 }
 
 bool decode(const std::string &Bytes, GossipMessage &Decoded) {
   return decodeWith(
       Bytes, Decoded, [](const Json &Fields, GossipMessage &Message) {
         unsigned Kind = Fields.at(0).get<unsigned>();
-        if (Kind > static_cast<unsigned>(GossipKind::SettingsUpdate))
+        if (Kind > static_cast<unsigned>(GossipKind::Quarantine))
           throw Json::other_error::create(501, "kind out of range", &Fields);
         Message.Kind_ = static_cast<GossipKind>(Kind);
         Fields.at(1).get_to(Message.Sequence_);
@@ -126,6 +169,11 @@
         Fields.at(6).get_to(Message.MembersDigest_);
         listFromJson(Fields.at(7), Message.Members_);
         listFromJson(Fields.at(8), Message.SettingsUpdates_);
+        if (Fields.size() <= QuarantineField)
+          return;
+        listFromJson(Fields.at(QuarantineField), Message.Quarantine_.Crashes_);
+        listFromJson(Fields.at(QuarantineField + 1),
+                     Message.Quarantine_.Cleared_);
       });
 }
 
@@ -144,8 +192,11 @@
 }
 
 std::string encode(const SyncReply &Message) {
-  return encodeJson(Json::array({Message.Serving_, listToJson(Message.Members_),
-                                 listToJson(Message.Subtrees_)}));
+  Json Fields = Json::array({Message.Serving_, listToJson(Message.Members_),
+                             listToJson(Message.Subtrees_)});
+  if (!Message.Evidence_.empty())
+    Fields.push_back(listToJson(Message.Evidence_));
+  return encodeJson(Fields);
 }
 
 bool decode(const std::string &Bytes, SyncReply &Decoded) {
@@ -153,6 +204,8 @@
     Fields.at(0).get_to(Message.Serving_);
     listFromJson(Fields.at(1), Message.Members_);
     listFromJson(Fields.at(2), Message.Subtrees_);
+    if (Fields.size() > EvidenceField)
+      listFromJson(Fields.at(EvidenceField), Message.Evidence_);
   });
 }
 
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -169,6 +169,7 @@
     return;
   }
   case GossipKind::SettingsUpdate:
+  case GossipKind::Quarantine:
     return;
   }
 }
@@ -287,13 +288,17 @@
   send(Dead[DeadIndex(Random_)], Ping);
 }
 
-void Membership::broadcast(const std::vector<SettingsVersion> &Updates) {
-  SettingsUpdates_ = Updates;
+std::vector<Member> Membership::broadcastTargets() {
   std::vector<Member> Targets = sample(BroadcastFanout);
   for (const Member &Neighbour : sampleSameDomain(SameDomainFanout))
     if (std::find(Targets.begin(), Targets.end(), Neighbour) == Targets.end())
       Targets.push_back(Neighbour);
-  for (const Member &Target : Targets) {
+  return Targets;
+}
+
+void Membership::broadcast(const std::vector<SettingsVersion> &Updates) {
+  SettingsUpdates_ = Updates;
+  for (const Member &Target : broadcastTargets()) {
     GossipMessage Message;
     Message.Kind_ = GossipKind::SettingsUpdate;
     send(Target.Peer_, Message);
@@ -301,6 +306,15 @@
   SettingsUpdates_.clear();
 }
 
+void Membership::broadcastNews(const QuarantineNews &News) {
+  for (const Member &Target : broadcastTargets()) {
+    GossipMessage Message;
+    Message.Kind_ = GossipKind::Quarantine;
+    Message.Quarantine_ = News;
+    send(Target.Peer_, Message);
+  }
+}
+
 void Membership::send(const Endpoint &To, GossipMessage Message) {
   Message.From_ = Self_.Node_;
   Message.SettingsDigest_ = SettingsDigest_;
--- a/src/shell/peer_codec.cpp
+++ b/src/shell/peer_codec.cpp
@@ -177,6 +177,7 @@
   Result.Context_.PlacementWeight_ = Fields.weight("fs-place-weight");
   Result.Context_.InRootDomain_ = Fields.optionalNumber("fs-far", 0) == 0;
   Result.Context_.Repeat_ = Fields.optionalNumber("fs-repeat", 0) != 0;
+  Result.Context_.Suspect_ = Fields.optionalNumber("fs-suspect", 0) != 0;
   Result.Ticket_ = Fields.optionalText("fs-ticket");
   Result.Request_ = {Fields.text(":method"), Fields.text(":path"),
                      applicationFields(Message), Message.Body_};
@@ -232,6 +233,8 @@
     add(Result, "fs-far", std::uint64_t{1});
   if (Context.Repeat_)
     add(Result, "fs-repeat", std::uint64_t{1});
+  if (Context.Suspect_)
+    add(Result, "fs-suspect", std::uint64_t{1});
   if (!Message.Ticket_.empty())
     add(Result, "fs-ticket", Message.Ticket_);
   addApplicationFields(Result, Message.Request_.Headers_);
--- a/tests/mutants/mutants.py
+++ b/tests/mutants/mutants.py
@@ -24,6 +24,20 @@
 ENTRIES = "src/routing/entry_distribution.cpp"
 
 CORE = [
+    Mutant(
+        "crashing-request-is-never-set-aside",
+        "src/quarantine/quarantine.cpp",
+        "CrashesToSetAside = 3",
+        "CrashesToSetAside = 300",
+        "golden",
+    ),
+    Mutant(
+        "served-request-keeps-the-evidence-against-it",
+        "src/quarantine/quarantine.cpp",
+        "  Existing->second.Crashes_.clear();\n",
+        "",
+        "unit",
+    ),
     Mutant(
         "rate-limit-is-not-applied",
         "src/engine/owner_capacity.cpp",
--- a/tests/unit/admission_test.cpp
+++ b/tests/unit/admission_test.cpp
@@ -22,7 +22,7 @@
   return millis(std::uniform_int_distribution<int>(MinMs, MaxMs)(Random));
 }
 
-bool allowLong(unsigned) { return true; }
+bool allowLong(const QueuedWork &) { return true; }
 
 } // namespace
 
@@ -72,8 +72,10 @@
   Long.Long_ = true;
   Queue.push(Long);
   Queue.push(makeWork(2, 3, millis(9), millis(1)));
-  CHECK(Queue.pop([](unsigned) { return false; })->Work_ == WorkId{2});
-  CHECK_FALSE(Queue.pop([](unsigned) { return false; }).has_value());
+  CHECK(Queue.pop([](const QueuedWork &Queued) { return !Queued.Long_; })
+            ->Work_ == WorkId{2});
+  CHECK_FALSE(Queue.pop([](const QueuedWork &Queued) { return !Queued.Long_; })
+                  .has_value());
 }
 
 // On random queues, all retained work can start in time. HighestEvicted is not
