--- a/include/fulmarshelf/detail/shell/node_shell.hpp
+++ b/include/fulmarshelf/detail/shell/node_shell.hpp
@@ -56,6 +56,7 @@
   void onRequest(CallerKey Caller, bool FromBackend, HttpRequest Request);
   void onBackendRequest(CallerKey Caller, HttpRequest Request);
   void onOperatorRequest(CallerKey Caller, const HttpRequest &Request);
+  HttpResponse releaseRequest(const std::string &Target);
   HttpResponse operatorPage(const HttpRequest &Request);
   HttpResponse readinessPage() const;
   void applyCallerLimits();
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -328,6 +328,10 @@
               << " calls run (slots " << Status["backend"]["slots"] << "), "
               << Status["queued"] << " wait"
               << (Status["backend"]["draining"].get<bool>() ? ", draining" : "")
+              << (Status["backend"].contains("rate_limit")
+                      ? ", accepts " + Status["backend"]["rate_limit"].dump() +
+                            " requests a second"
+                      : std::string())
               << (Status["backend"].contains("instance")
                       ? ", instance " +
                             Status["backend"]["instance"].get<std::string>()
@@ -372,6 +376,54 @@
   return ExitDone;
 }
 
+int runQuarantineList(const Arguments &Args) {
+  Endpoint Node;
+  if (!readEndpoint(Args.Node_, "FULMARSHELF_NODE", Node))
+    return fail(ExitUsage, "no valid operator address of a node; give --node "
+                           "IP:PORT or set FULMARSHELF_NODE");
+  std::optional<std::string> Page = readPage(Node, "/status");
+  if (!Page)
+    return fail(ExitUnreachable, "node " + toString(Node) +
+                                     " did not answer GET /status with 200");
+  Json List = Json::parse(*Page).at("quarantine");
+  if (Args.Json_) {
+    std::cout << List.dump(1) << '\n';
+    return ExitDone;
+  }
+  if (List.empty())
+    std::cout << "no request was in progress at a crash of a backend server\n";
+  for (const Json &Request : List)
+    std::cout << Request.at("request").get<std::string>() << ' '
+              << Request.at("state").get<std::string>() << ", "
+              << Request.at("crashes") << " crashes, " << Request.at("refused")
+              << " refused here "
+              << Request.value("target", std::string("(not seen here)"))
+              << '\n';
+  return ExitDone;
+}
+
+int runQuarantineRelease(const Arguments &Args) {
+  Endpoint Node;
+  if (!readEndpoint(Args.Node_, "FULMARSHELF_NODE", Node))
+    return fail(ExitUsage, "no valid operator address of a node; give --node "
+                           "IP:PORT or set FULMARSHELF_NODE");
+  HttpResult Result = fetch(
+      Node,
+      {"POST", "/quarantine/release?request=" + Args.Positional_[0], {}, {}},
+      DefaultTimeout);
+  const HttpResponse *Response = std::get_if<HttpResponse>(&Result);
+  if (Response == nullptr)
+    return fail(ExitUnreachable, "node " + toString(Node) +
+                                     " did not answer; check that this is its "
+                                     "operator address");
+  if (Response->Status_ == 400)
+    return fail(ExitUsage, Response->Body_);
+  if (Response->Status_ != 200)
+    return fail(ExitMissing, Response->Body_);
+  std::cout << Response->Body_;
+  return ExitDone;
+}
+
 int runBackends(const Arguments &Args) {
   Endpoint Node;
   if (!readEndpoint(Args.Node_, "FULMARSHELF_NODE", Node))
@@ -458,6 +510,8 @@
         &runEffective}},
       {"status", {"--node EP [--json]", 0, &runStatus}},
       {"backends", {"--node EP [--json]", 0, &runBackends}},
+      {"quarantine list", {"--node EP [--json]", 0, &runQuarantineList}},
+      {"quarantine release", {"REQUEST --node EP", 1, &runQuarantineRelease}},
       {"routes", {"--node EP", 0, &runRoutes}},
       {"explain", {"REQUEST-ID FILE [FILE ...]", 2, &runExplain, true}},
       {"ticket", {"--entry EP", 0, &runTicket}}};
--- a/src/engine/status.cpp
+++ b/src/engine/status.cpp
@@ -55,6 +55,8 @@
                  {"address", toString(Announced.Address_)},
                  {"slots", Announced.Slots_},
                  {"draining", Announced.State_ == BackendState::Draining}};
+  if (std::optional<double> Rate = Node.Rate_.namedRate())
+    Result["rate_limit"] = *Rate;
   if (!Announced.Instance_.empty())
     Result["instance"] = Announced.Instance_;
   return Result;
@@ -99,6 +101,25 @@
   return List;
 }
 
+// Requests with evidence against them, the strongest first.
+Json quarantineOf(const NodeState &Node) {
+  constexpr std::size_t MaxListed = 100;
+  Json List = Json::array();
+  for (const QuarantinedRequest &Request :
+       Node.Quarantine_.requests(Node.Now_)) {
+    if (List.size() >= MaxListed)
+      break;
+    Json Entry = {{"request", toString(Request.Digest_)},
+                  {"state", std::string(suspicionName(Request.Suspicion_))},
+                  {"crashes", Request.Crashes_},
+                  {"refused", Request.Rejected_}};
+    if (!Request.Target_.empty())
+      Entry["target"] = Request.Target_;
+    List.push_back(Entry);
+  }
+  return List;
+}
+
 } // namespace
 
 std::string statusJson(const NodeState &Node) {
@@ -117,6 +138,7 @@
                    {"long_level", Node.LongLevel_.level()},
                    {"shedding", sheddingReason(Node)},
                    {"by_importance", countsOf(Node)},
+                   {"quarantine", quarantineOf(Node)},
                    {"tables",
                     {{"requests", Node.Requests_.size()},
                      {"attempts", Node.Attempts_.size()},
--- a/src/shell/metrics.cpp
+++ b/src/shell/metrics.cpp
@@ -88,6 +88,14 @@
   }
 }
 
+// Requests with at least this suspicion.
+double countQuarantined(const NodeState &Node, Suspicion AtLeast) {
+  std::size_t Count = 0;
+  for (const QuarantinedRequest &Request : Node.Quarantine_.requests(Node.Now_))
+    Count += Request.Suspicion_ >= AtLeast ? 1 : 0;
+  return static_cast<double>(Count);
+}
+
 } // namespace
 
 Metrics::Metrics() : Times_(std::make_unique<Times>()) {}
@@ -138,6 +146,12 @@
       {"fulmarshelf_dispatches_total", "counter",
        "Requests sent to the backend server",
        static_cast<double>(Node.Dispatches_)},
+      {"fulmarshelf_quarantined_requests", "gauge",
+       "Requests that are set aside because backend servers crashed under them",
+       countQuarantined(Node, Suspicion::SetAside)},
+      {"fulmarshelf_suspect_requests", "gauge",
+       "Requests that were in progress at a crash and not served since",
+       countQuarantined(Node, Suspicion::Suspect)},
       {"fulmarshelf_running", "gauge", "Calls that run now",
        static_cast<double>(Node.Running_)},
       {"fulmarshelf_queued", "gauge", "Work that waits for a slot",
--- a/src/shell/node_shell.cpp
+++ b/src/shell/node_shell.cpp
@@ -22,6 +22,7 @@
 constexpr std::uint64_t BackendKeySpace = 2;
 constexpr std::uint64_t OperatorKeySpace = 3;
 constexpr std::uint64_t MetricsKeySpace = 4;
+constexpr std::string_view ReleasePath = "/quarantine/release";
 constexpr std::chrono::milliseconds BackendConnectTimeout{500};
 constexpr std::chrono::milliseconds LogFlushInterval{200};
 // Added to the timeouts of caller connections, see applyCallerLimits().
@@ -477,11 +478,25 @@
   Operators_.respond(Caller, operatorPage(Request));
 }
 
+HttpResponse NodeShell::releaseRequest(const std::string &Target) {
+  std::optional<RequestDigest> Digest =
+      parseRequestDigest(queryValue(Target, "request"));
+  if (!Digest)
+    return textPage(400, "request is not a digest of 32 hexadecimal digits\n");
+  if (Engine_.state().Quarantine_.crashes(*Digest) == 0)
+    return textPage(404, "there is no evidence against this request here\n");
+  handleInput(QuarantineReleased{*Digest});
+  return textPage(200, "released\n");
+}
+
 HttpResponse NodeShell::operatorPage(const HttpRequest &Request) {
   const NodeState &Node = Engine_.state();
   std::string Path(pathOf(Request.Target_));
+  if (Request.Method_ == "POST" && Path == ReleasePath)
+    return releaseRequest(Request.Target_);
   if (Request.Method_ != "GET")
-    return textPage(405, "only GET is served here\n");
+    return textPage(405, "only GET is served here, and POST at " +
+                             std::string(ReleasePath) + "\n");
   std::string ReadinessPath = std::visit(
       [](const auto &ActiveDialect) { return ActiveDialect.readinessPath(); },
       Dialect_);
--- a/tests/failure/test_crashing_request.py
+++ b/tests/failure/test_crashing_request.py
@@ -162,5 +162,40 @@
         checker.require(ended == 0, f"{ended} servers ended after the restarts")
 
 
+def operator_lists_and_releases_the_request(checker, directory):
+    with CrashingMesh(directory, 12400, {"front": 3, "deep": 1}).start() as mesh:
+        with Load(mesh, mesh.workers, {"crash": (0.1, 1)}):
+            wait_until(lambda: len(mesh.crashes) >= 3, "three servers have ended", 20)
+            time.sleep(STABLE_WINDOW_SECONDS)
+        entry = mesh.of("deep")[0]
+        code, out, err = mesh.cli("quarantine", "list", "--node", entry.operator)
+        checker.require(
+            code == 0 and "set-aside, 3 crashes" in out and CRASH_TARGET in out,
+            f"the list does not show the request: {out}{err}",
+        )
+        digest = out.split()[0] if out else ""
+        code, _, err = mesh.cli("quarantine", "release", digest, "--node", entry.operator)
+        checker.require(code == 0, f"release ended with {code}: {err}")
+
+        def shown_anywhere():
+            return any(
+                request["request"] == digest
+                for worker in mesh.workers
+                for request in worker.status()["quarantine"]
+            )
+
+        wait_until(lambda: not shown_anywhere(), "all nodes have released it", 5)
+        code, _, _ = mesh.cli("quarantine", "release", digest, "--node", entry.operator)
+        checker.require(code == 5, f"second release ended with {code}, not 5")
+        code, _, _ = mesh.cli("quarantine", "release", "xyz", "--node", entry.operator)
+        checker.require(code == 1, f"release of a malformed digest ended with {code}")
+
+
 if __name__ == "__main__":
-    run_tests([crashing_request_is_not_sent_on, restarted_node_knows_the_crashing_request])
+    run_tests(
+        [
+            crashing_request_is_not_sent_on,
+            restarted_node_knows_the_crashing_request,
+            operator_lists_and_releases_the_request,
+        ]
+    )
