--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -92,7 +92,7 @@
   TimePoint Now_ = Start;
   std::vector<RequestDigest> SetAside_;
 
-  bool crash(std::uint64_t Id, std::vector<std::uint64_t> InProgress) {
+  bool crash(std::uint64_t Id, const std::vector<std::uint64_t> &InProgress) {
     CrashReport Report{Id, {}};
     for (std::uint64_t Request : InProgress)
       Report.InProgress_.push_back(digest(Request));
