--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -229,6 +229,15 @@
   }
 }
 
+// Clients and proxies repeat a request after 502 to 504.
+TEST(Platform, RequestThatIsSetAsideIsAnsweredWithoutAnInvitationToRetry) {
+  AnswerCaller Answer;
+  Answer.Reply_ = unknownOutcome(ErrorCode::SetAside);
+  HttpResponse Response = Dialect_.encodeResponse(Answer);
+  LONGS_EQUAL(500, Response.Status_);
+  CHECK(fieldOf(Response.Headers_, "Retry-After") == nullptr);
+}
+
 TEST(Platform, ResponsesToOtherRequestsAreRejected) {
   HttpRequest Request{"GET", "/", {{"X-Fulmarshelf-Request-Id", "id1"}}, {}};
   HttpResponse Matching{200, {{"X-Fulmarshelf-Request-Id", "id1"}}, {}};
--- /dev/null
+++ b/tests/unit/suspect_work_test.cpp
@@ -0,0 +1,139 @@
+#include "fulmarshelf/detail/engine/systems.hpp" // owner_system
+
+#include <CppUTest/TestHarness.h> // TEST
+
+using namespace fulmarshelf;
+
+namespace {
+
+EngineConfig configuration() {
+  EngineConfig Config;
+  Config.Settings_.Name_ = "a";
+  Config.Settings_.FailureDomain_ = "here";
+  Config.Settings_.Interface_ = InterfaceKind::Platform;
+  Config.Settings_.Service_ = "front";
+  Config.Incarnation_ = 1;
+  return Config;
+}
+
+HttpRequest request(std::uint64_t Number) {
+  return {"GET", "/look/" + std::to_string(Number), {{"Host", "h"}}, {}};
+}
+
+Member member(const char *Name) {
+  Member Other;
+  Other.Node_ = Name;
+  Other.Incarnation_ = 1;
+  return Other;
+}
+
+} // namespace
+
+// A backend server with 40 slots, of which suspects may use four.
+TEST_GROUP(SuspectWork) {
+  NodeState Node_{configuration()};
+  std::uint64_t LastAttempt_ = 0;
+
+  void setup() override {
+    Node_.Now_ = TimePoint(millis(5000));
+    Node_.Phase_ = NodePhase::Serving;
+    BackendAnnounced Announced;
+    Announced.Announcement_.Service_ = "front";
+    Announced.Announcement_.Instance_ = "i-1";
+    Announced.Announcement_.Slots_ = 40;
+    backend_system::announce(Node_, Announced);
+    Node_.Backend_.HasAnswered_ = true;
+  }
+
+  void admit(std::uint64_t Number, bool Suspect) {
+    CallContext Context;
+    Context.TimeLeft_ = millis(2000);
+    Context.Suspect_ = Suspect;
+    owner_system::admit(Node_, {"b", 1, ++LastAttempt_}, std::monostate(),
+                        Context, request(Number));
+  }
+
+  void crash(std::uint64_t Id, const std::vector<std::uint64_t> &Numbers) {
+    CrashReport Report{Id, {}};
+    for (std::uint64_t Number : Numbers)
+      Report.InProgress_.push_back(digestOf(request(Number)));
+    quarantine_system::onNews(Node_, {{Report}, {}});
+  }
+
+  // Datagrams with news that the node has sent since the last call.
+  std::size_t newsSent() {
+    std::size_t Count = 0;
+    for (const GossipSend &Send : Node_.Membership_.takeSends())
+      Count += Send.Message_.Kind_ == GossipKind::Quarantine ? 1 : 0;
+    return Count;
+  }
+};
+
+TEST(SuspectWork, FewSuspectsRunAtATime) {
+  for (std::uint64_t Number = 1; Number <= 10; ++Number)
+    admit(Number, true);
+  LONGS_EQUAL(4, Node_.Running_);
+  for (std::uint64_t Number = 11; Number <= 20; ++Number)
+    admit(Number, false);
+  LONGS_EQUAL(14, Node_.Running_);
+  owner_system::onAnswer(Node_, {WorkId{1}, {200, {}, {}}, {}});
+  LONGS_EQUAL(14, Node_.Running_);
+  LONGS_EQUAL(4, Node_.RunningSuspects_);
+}
+
+TEST(SuspectWork, StrongSuspectRunsWithoutOtherSuspects) {
+  crash(1, {1, 2});
+  crash(2, {1, 2});
+  admit(1, false);
+  admit(2, false);
+  admit(3, true);
+  LONGS_EQUAL(1, Node_.Running_);
+  admit(4, false);
+  LONGS_EQUAL(2, Node_.Running_);
+  owner_system::onAnswer(Node_, {WorkId{1}, {200, {}, {}}, {}});
+  CHECK(Node_.Works_.at(WorkId{2}).State_ == WorkState::Running);
+  CHECK(Node_.Works_.at(WorkId{3}).State_ == WorkState::Queued);
+}
+
+TEST(SuspectWork, QueuedRequestThatIsSetAsideDoesNotRun) {
+  crash(1, {1});
+  crash(2, {1, 2});
+  admit(1, false);
+  LONGS_EQUAL(0, Node_.Works_.size());
+  crash(3, {2});
+  admit(2, false);
+  LONGS_EQUAL(0, Node_.Works_.size());
+}
+
+TEST(SuspectWork, NewsIsPassedOnOnce) {
+  Node_.Membership_.learn(Node_.Now_, {member("b"), member("c")});
+  Node_.Membership_.takeSends();
+  crash(1, {1});
+  LONGS_EQUAL(2, newsSent());
+  crash(1, {1});
+  LONGS_EQUAL(0, newsSent());
+  quarantine_system::spread(Node_);
+  LONGS_EQUAL(2, newsSent());
+  quarantine_system::spread(Node_);
+  LONGS_EQUAL(0, newsSent());
+}
+
+TEST(SuspectWork, ServerThatLeavesGivesNoEvidence) {
+  admit(1, false);
+  backend_system::depart(Node_, {"i-1"});
+  owner_system::onFailure(Node_, WorkId{1}, false);
+  backend_system::onCrashConfirmed(Node_);
+  CHECK(Node_.Quarantine_.empty());
+}
+
+TEST(SuspectWork, CrashWithRequestsInProgressIsReported) {
+  Node_.Membership_.learn(Node_.Now_, {member("b")});
+  Node_.Membership_.takeSends();
+  admit(1, false);
+  owner_system::onFailure(Node_, WorkId{1}, false);
+  CHECK(Node_.Quarantine_.empty());
+  backend_system::onCrashConfirmed(Node_);
+  LONGS_EQUAL(1, newsSent());
+  CHECK(Node_.Quarantine_.suspicion(Node_.Now_, digestOf(request(1))) ==
+        Suspicion::Suspect);
+}
