--- a/include/fulmarshelf/detail/engine/tables.hpp
+++ b/include/fulmarshelf/detail/engine/tables.hpp
@@ -130,6 +130,7 @@
   TimePoint LastHeardAt_;            ///< last announcement or answer
   TimePoint SuspectUntil_;     ///< end of the pause after a refused connection
   TimePoint IncarnationSince_; ///< first announcement of its incarnation
+  TimePoint FirstDispatchAt_;  ///< first request sent to its incarnation
   bool HasAnswered_ = false;   ///< its incarnation has answered a request
 };
 
--- a/src/engine/backend_system.cpp
+++ b/src/engine/backend_system.cpp
@@ -80,6 +80,7 @@
   Node.Backend_.DepartedInstance_.clear();
   Node.Backend_.ReplacedUnannounced_ = false;
   Node.Backend_.HasAnswered_ = false;
+  Node.Backend_.FirstDispatchAt_ = TimePoint{};
   Node.Backend_.IncarnationSince_ = Node.Now_;
   Node.Rate_ = RateLimiter();
 }
--- a/src/engine/owner_capacity.cpp
+++ b/src/engine/owner_capacity.cpp
@@ -10,13 +10,24 @@
 // Until the backend server has answered, a limit that it may have named to an
 // earlier process of this node is unknown, and few requests are sent.
 constexpr unsigned UnansweredRequests = 4;
+// As many are added after each of these times, so that a server whose work
+// takes long is used before its first answer.
+constexpr Micros UnansweredInterval = millis(500);
+
+unsigned unansweredLimit(const NodeState &Node) {
+  TimePoint Since = Node.Backend_.FirstDispatchAt_;
+  std::int64_t Intervals =
+      Since == TimePoint{} ? 0 : (Node.Now_ - Since) / UnansweredInterval;
+  return UnansweredRequests *
+         static_cast<unsigned>(std::min<std::int64_t>(Intervals + 1, 1000));
+}
 
 } // namespace
 
 unsigned concurrencyLimit(const NodeState &Node) {
   unsigned Limit = Node.Limit_.limit();
   return Node.Backend_.HasAnswered_ ? Limit
-                                    : std::min(Limit, UnansweredRequests);
+                                    : std::min(Limit, unansweredLimit(Node));
 }
 
 QueueCapacity queueCapacity(const NodeState &Node) {
--- a/src/engine/work_slots.cpp
+++ b/src/engine/work_slots.cpp
@@ -38,6 +38,8 @@
   Started.Dispatched_ = Node.Now_;
   addRunningDeadline(Node, Started, distinctTimeout(Node, Started));
   Node.Rate_.acquire(Node.Now_);
+  if (Node.Backend_.FirstDispatchAt_ == TimePoint{})
+    Node.Backend_.FirstDispatchAt_ = Node.Now_;
   Started.StartedAs_ = quarantine_system::suspicionOf(Node, Started);
   if (Started.StartedAs_ == Suspicion::Suspect)
     ++Node.RunningSuspects_;
--- a/tests/unit/suspect_work_test.cpp
+++ b/tests/unit/suspect_work_test.cpp
@@ -69,6 +69,17 @@
   }
 };
 
+// Long work must not wait for the first answer of its server.
+TEST(SuspectWork, ServerWithoutAnAnswerGetsMoreRequestsWithTime) {
+  Node_.Backend_.HasAnswered_ = false;
+  for (std::uint64_t Number = 1; Number <= 10; ++Number)
+    admit(Number, false);
+  LONGS_EQUAL(4, Node_.Running_);
+  Node_.Now_ += millis(500);
+  owner_system::runQueue(Node_);
+  LONGS_EQUAL(8, Node_.Running_);
+}
+
 TEST(SuspectWork, FewSuspectsRunAtATime) {
   for (std::uint64_t Number = 1; Number <= 10; ++Number)
     admit(Number, true);
