Move the text of node pages out of the command line's main file

Status, backends, quarantine, routes and effective share one way to find the node and to read its status page. Comments on suspects and on the quarantine say what the code does in the field's terms.

--- a/include/fulmarshelf/detail/engine/systems.hpp
+++ b/include/fulmarshelf/detail/engine/systems.hpp
@@ -119,8 +119,8 @@
 bool isServing(const NodeState &Node);
 } // namespace backend_system
 
-/// @brief Recognises requests that crash backend servers, and tells the other
-/// nodes about them.
+/// @brief Detects requests that crash backend servers and reports them to the
+/// other nodes.
 namespace quarantine_system {
 /// @brief Records a crash of this node's backend server.
 void onCrash(NodeState &Node, const std::vector<RequestDigest> &InProgress);
--- a/include/fulmarshelf/detail/quarantine/quarantine.hpp
+++ b/include/fulmarshelf/detail/quarantine/quarantine.hpp
@@ -37,13 +37,14 @@
 /// @brief Evidence against requests that crash the backend servers which run
 /// them, and the requests that are set aside.
 ///
-/// Load pattern: one request ends each server that begins to run it, and comes
-/// again under other ids at other entries. Everything that runs beside it is
-/// lost as well, so being in progress at a crash proves little. A request is
-/// set aside for ShortTime when it alone, of those in progress at a crash, was
-/// in progress at another one before, and for LongTime after three crashes. A
-/// request that was served meanwhile starts anew. Owners run few suspects at a
-/// time, which separates the culprit from those beside it.
+/// Load pattern: one request crashes each server that runs it, and is sent
+/// again under other ids at other entries. All other requests in progress at
+/// that server are lost as well, so being in progress at one crash is weak
+/// evidence. A request is set aside for ShortTime when it is the only one in
+/// progress at a crash that was also in progress at an earlier one, and for
+/// LongTime after three crashes. The evidence against a request is discarded
+/// when a server answers it. Owners limit the number of suspects that run at a
+/// time, so that few requests are in progress at several crashes.
 class Quarantine {
 public:
   /// @brief Records a crash.
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,6 +1,7 @@
 #include "backends.hpp"                             // backendRows
 #include "explain.hpp"                              // linesOfRequest
 #include "fulmarshelf/detail/shell/http_client.hpp" // fetch
+#include "node_pages.hpp"                           // statusText
 #include "platform_client.hpp"                      // PlatformClient
 
 #include <nlohmann/json.hpp> // json
@@ -294,164 +295,98 @@
   });
 }
 
-int runEffective(const Arguments &Args) {
+// Runs an action on the operator address of the node that the arguments name.
+int withNode(const Arguments &Args,
+             const std::function<int(const Endpoint &)> &Action) {
   Endpoint Node;
   if (!readEndpoint(Args.Node_, "FULMARSHELF_NODE", Node))
     return fail(ExitUsage, "no valid operator address of a node; give --node "
                            "IP:PORT or set FULMARSHELF_NODE");
-  std::string Target = "/effective?path=" + Args.Positional_[0] +
-                       "&method=" + Args.Method_ + "&caller=" + Args.Caller_;
-  std::optional<std::string> Page = readPage(Node, Target);
-  Json Rules = Json::parse(Page.value_or(""), nullptr, false);
-  if (!Rules.is_object())
-    return fail(ExitMissing, "node " + toString(Node) +
-                                 " has no settings for " + Args.Positional_[0] +
-                                 ", or did not answer");
-  for (auto Rule = Rules.begin(); Rule != Rules.end(); ++Rule)
-    std::cout << Rule.key() << " = " << Rule.value() << '\n';
-  return ExitDone;
+  return Action(Node);
 }
 
-void printStatus(const Json &Status) {
-  std::cout << "node " << Status["node"].get<std::string>() << " is "
-            << Status["phase"].get<std::string>() << " in "
-            << Status["region"].get<std::string>() << "/"
-            << Status["failure_domain"].get<std::string>() << '\n';
-  std::cout << "shedding: " << Status["shedding"].get<std::string>() << '\n';
-  std::cout << "backend server: ";
-  if (Status["backend"].is_null())
-    std::cout << "none has announced itself\n";
-  else
-    std::cout << Status["backend"]["service"].get<std::string>() << " at "
-              << Status["backend"]["address"].get<std::string>() << ", "
-              << Status["running"] << " of " << Status["limit"]
-              << " calls run (slots " << Status["backend"]["slots"] << "), "
-              << Status["queued"] << " wait"
-              << (Status["backend"]["draining"].get<bool>() ? ", draining" : "")
-              << (Status["backend"].contains("rate_limit")
-                      ? ", accepts " + Status["backend"]["rate_limit"].dump() +
-                            " requests a second"
-                      : std::string())
-              << (Status["backend"].contains("instance")
-                      ? ", instance " +
-                            Status["backend"]["instance"].get<std::string>()
-                      : std::string())
-              << '\n';
-  if (Status.contains("unreadable"))
-    std::cout << "newest routes cannot be read: "
-              << Status["unreadable"].get<std::string>() << '\n';
-  std::cout << "settings in force:\n";
-  for (const Json &Subtree : Status["settings"])
-    std::cout << "  " << Subtree["path"].get<std::string>() << " version "
-              << Subtree["version"]
-              << (Subtree["deleted"].get<bool>() ? " (deleted)" : "") << '\n';
-  std::cout << "answers by importance:\n";
-  for (const Json &Level : Status["by_importance"])
-    if (Level["answered"] != 0 || Level["refused"] != 0)
-      std::cout << "  " << Level["importance"] << ": " << Level["answered"]
-                << " answered, " << Level["refused"] << " refused\n";
-  std::cout << "other nodes:\n";
-  for (const Json &Member : Status["members"])
-    std::cout << "  " << Member["node"].get<std::string>() << ' '
-              << Member["status"].get<std::string>() << ' '
-              << Member["service"].get<std::string>() << '\n';
+// Runs an action on the status page of the node that the arguments name.
+int withStatus(const Arguments &Args,
+               const std::function<void(const Json &)> &Action) {
+  return withNode(Args, [&Action](const Endpoint &Node) {
+    std::optional<std::string> Page = readPage(Node, "/status");
+    if (!Page)
+      return fail(ExitUnreachable,
+                  "node " + toString(Node) +
+                      " did not answer GET /status with 200 within " +
+                      std::to_string(DefaultTimeout.count()) +
+                      " ms; check that this is its operator address");
+    Action(Json::parse(*Page));
+    return static_cast<int>(ExitDone);
+  });
+}
+
+int runEffective(const Arguments &Args) {
+  return withNode(Args, [&Args](const Endpoint &Node) {
+    std::string Target = "/effective?path=" + Args.Positional_[0] +
+                         "&method=" + Args.Method_ + "&caller=" + Args.Caller_;
+    std::optional<std::string> Page = readPage(Node, Target);
+    Json Rules = Json::parse(Page.value_or(""), nullptr, false);
+    if (!Rules.is_object())
+      return fail(ExitMissing, "node " + toString(Node) +
+                                   " has no settings for " +
+                                   Args.Positional_[0] + ", or did not answer");
+    for (auto Rule = Rules.begin(); Rule != Rules.end(); ++Rule)
+      std::cout << Rule.key() << " = " << Rule.value() << '\n';
+    return static_cast<int>(ExitDone);
+  });
 }
 
 int runStatus(const Arguments &Args) {
-  Endpoint Node;
-  if (!readEndpoint(Args.Node_, "FULMARSHELF_NODE", Node))
-    return fail(ExitUsage, "no valid operator address of a node; give --node "
-                           "IP:PORT or set FULMARSHELF_NODE");
-  std::optional<std::string> Page = readPage(Node, "/status");
-  if (!Page)
-    return fail(ExitUnreachable,
-                "node " + toString(Node) +
-                    " did not answer GET /status with 200 within " +
-                    std::to_string(DefaultTimeout.count()) +
-                    " ms; check that this is its operator address");
-  if (Args.Json_)
-    std::cout << *Page;
-  else
-    printStatus(Json::parse(*Page));
-  return ExitDone;
+  return withStatus(Args, [&Args](const Json &Status) {
+    std::cout << (Args.Json_ ? Status.dump(1) + "\n" : statusText(Status));
+  });
 }
 
-int runQuarantineList(const Arguments &Args) {
-  Endpoint Node;
-  if (!readEndpoint(Args.Node_, "FULMARSHELF_NODE", Node))
-    return fail(ExitUsage, "no valid operator address of a node; give --node "
-                           "IP:PORT or set FULMARSHELF_NODE");
-  std::optional<std::string> Page = readPage(Node, "/status");
-  if (!Page)
-    return fail(ExitUnreachable, "node " + toString(Node) +
-                                     " did not answer GET /status with 200");
-  Json List = Json::parse(*Page).at("quarantine");
-  if (Args.Json_) {
-    std::cout << List.dump(1) << '\n';
-    return ExitDone;
-  }
-  if (List.empty())
-    std::cout << "no request was in progress at a crash of a backend server\n";
-  for (const Json &Request : List)
-    std::cout << Request.at("request").get<std::string>() << ' '
-              << Request.at("state").get<std::string>() << ", "
-              << Request.at("crashes") << " crashes, " << Request.at("refused")
-              << " refused here "
-              << Request.value("target", std::string("(not seen here)"))
-              << '\n';
-  return ExitDone;
+int runBackends(const Arguments &Args) {
+  return withStatus(Args, [&Args](const Json &Status) {
+    Json Rows = backendRows(Status);
+    std::cout << (Args.Json_ ? Rows.dump(1) + "\n" : backendTable(Rows));
+  });
 }
 
-int runQuarantineRelease(const Arguments &Args) {
-  Endpoint Node;
-  if (!readEndpoint(Args.Node_, "FULMARSHELF_NODE", Node))
-    return fail(ExitUsage, "no valid operator address of a node; give --node "
-                           "IP:PORT or set FULMARSHELF_NODE");
-  HttpResult Result = fetch(
-      Node,
-      {"POST", "/quarantine/release?request=" + Args.Positional_[0], {}, {}},
-      DefaultTimeout);
-  const HttpResponse *Response = std::get_if<HttpResponse>(&Result);
-  if (Response == nullptr)
-    return fail(ExitUnreachable, "node " + toString(Node) +
-                                     " did not answer; check that this is its "
-                                     "operator address");
-  if (Response->Status_ == 400)
-    return fail(ExitUsage, Response->Body_);
-  if (Response->Status_ != 200)
-    return fail(ExitMissing, Response->Body_);
-  std::cout << Response->Body_;
-  return ExitDone;
+int runQuarantineList(const Arguments &Args) {
+  return withStatus(Args, [&Args](const Json &Status) {
+    const Json &Requests = Status.at("quarantine");
+    std::cout << (Args.Json_ ? Requests.dump(1) + "\n"
+                             : quarantineText(Requests));
+  });
 }
 
-int runBackends(const Arguments &Args) {
-  Endpoint Node;
-  if (!readEndpoint(Args.Node_, "FULMARSHELF_NODE", Node))
-    return fail(ExitUsage, "no valid operator address of a node; give --node "
-                           "IP:PORT or set FULMARSHELF_NODE");
-  std::optional<std::string> Page = readPage(Node, "/status");
-  if (!Page)
-    return fail(ExitUnreachable,
-                "node " + toString(Node) +
-                    " did not answer GET /status with 200 within " +
-                    std::to_string(DefaultTimeout.count()) +
-                    " ms; check that this is its operator address");
-  Json Rows = backendRows(Json::parse(*Page));
-  std::cout << (Args.Json_ ? Rows.dump(1) + "\n" : backendTable(Rows));
-  return ExitDone;
+int runQuarantineRelease(const Arguments &Args) {
+  return withNode(Args, [&Args](const Endpoint &Node) {
+    HttpResult Result = fetch(
+        Node,
+        {"POST", "/quarantine/release?request=" + Args.Positional_[0], {}, {}},
+        DefaultTimeout);
+    const HttpResponse *Response = std::get_if<HttpResponse>(&Result);
+    if (Response == nullptr)
+      return fail(ExitUnreachable, "node " + toString(Node) +
+                                       " did not answer; check that this is "
+                                       "its operator address");
+    if (Response->Status_ == 400)
+      return fail(ExitUsage, Response->Body_);
+    if (Response->Status_ != 200)
+      return fail(ExitMissing, Response->Body_);
+    std::cout << Response->Body_;
+    return static_cast<int>(ExitDone);
+  });
 }
 
 int runRoutes(const Arguments &Args) {
-  Endpoint Node;
-  if (!readEndpoint(Args.Node_, "FULMARSHELF_NODE", Node))
-    return fail(ExitUsage, "no valid operator address of a node; give --node "
-                           "IP:PORT or set FULMARSHELF_NODE");
-  std::optional<std::string> Page = readPage(Node, "/routes");
-  if (!Page)
-    return fail(ExitMissing, "node " + toString(Node) +
-                                 " has no route table, or did not answer");
-  std::cout << *Page;
-  return ExitDone;
+  return withNode(Args, [](const Endpoint &Node) {
+    std::optional<std::string> Page = readPage(Node, "/routes");
+    if (!Page)
+      return fail(ExitMissing, "node " + toString(Node) +
+                                   " has no route table, or did not answer");
+    std::cout << *Page;
+    return static_cast<int>(ExitDone);
+  });
 }
 
 int runExplain(const Arguments &Args) {
--- a/src/engine/work_slots.cpp
+++ b/src/engine/work_slots.cpp
@@ -95,9 +95,10 @@
   return Node.LongRunning_ + Reserved < std::max(Limit, Reserved + 1);
 }
 
-// Few suspects run at a time and strong suspects alone among them, so that a
-// further crash tells them apart. Work that is set aside is taken from the
-// queue to be refused.
+// Limits the number of running suspects, so that few requests are in progress
+// at two crashes. A strong suspect runs without any other suspect: if its
+// server crashes, it is the cause. Work that is set aside passes, because
+// fillSlots() refuses it after taking it from the queue.
 bool mayRunSuspect(const NodeState &Node, Suspicion Value) {
   switch (Value) {
   case Suspicion::None:
