Add a failing test of crashes that are reported only when the server is back

The second arrival of the request, 0.5 s after the first, ran although two servers had ended: no node had confirmed the crashes yet.

--- a/tests/failure/test_crashing_request.py
+++ b/tests/failure/test_crashing_request.py
@@ -162,6 +162,29 @@
         checker.require(ended == 0, f"{ended} servers ended after the restarts")
 
 
+def crash_is_reported_while_no_other_request_arrives(checker, directory):
+    """All nodes know of a crash before the server is back, although nothing is sent
+    to it meanwhile."""
+    with CrashingMesh(directory, 12800, {"front": 4, "deep": 1}).start() as mesh:
+        code, _, _ = mesh.ask(mesh.of("deep")[0], f"/look/{CRASH_TARGET}", "once")
+        checker.require(code == 502, f"the crashing request got {code}")
+        ended = len(mesh.crashes)
+        deadline = time.monotonic() + RESTART_SECONDS / 2
+
+        def crashes_known(worker):
+            listed = worker.status()["quarantine"]
+            return max((request["crashes"] for request in listed), default=0)
+
+        while time.monotonic() < deadline:
+            known = [crashes_known(worker) for worker in mesh.workers]
+            if min(known) == ended:
+                return
+            time.sleep(0.02)
+        checker.require(
+            False, f"{ended} servers ended; crashes known at the nodes: {known}"
+        )
+
+
 def operator_lists_and_releases_the_request(checker, directory):
     with CrashingMesh(directory, 12400, {"front": 3, "deep": 1}).start() as mesh:
         with Load(mesh, mesh.workers, {"crash": (0.1, 1)}):
@@ -196,6 +219,7 @@
         [
             crashing_request_is_not_sent_on,
             restarted_node_knows_the_crashing_request,
+            crash_is_reported_while_no_other_request_arrives,
             operator_lists_and_releases_the_request,
         ]
     )
