Check whether a backend server has crashed after it lost a connection

Cause: a crash was confirmed when a further request was refused or the server was back. Placement avoids an owner whose calls fail, so in the time until the return (1.5 s) no further request came, no node knew of the crash, and the next arrival of the crashing request ran on the remaining servers.

The owner opens a connection 25 ms after a lost one, unless its server has answered since. A refusal confirms the crash; an accepted connection shows that the server runs, and the lost requests are no evidence. Ruled out: counting every lost connection as a crash (faulty servers lose single answers).

--- a/include/fulmarshelf/detail/engine/actions.hpp
+++ b/include/fulmarshelf/detail/engine/actions.hpp
@@ -94,6 +94,11 @@
   WorkId Work_;
 };
 
+/// @brief Check whether the backend server accepts connections.
+struct ProbeBackend {
+  Endpoint Backend_;
+};
+
 /// @brief Send a datagram.
 struct SendDatagram {
   Endpoint To_;
@@ -142,12 +147,12 @@
 struct StopProcess {};
 
 /// @brief All actions that the core requests from the shell.
-using Action =
-    std::variant<AnswerCaller, OpenLink, CloseLink, PingLink, SendCall,
-                 SendCancel, SendRevoke, SendSync, AnswerCall, AnswerRevoke,
-                 AnswerSync, DispatchWork, CancelWork, SendDatagram, StoreList,
-                 StoreListNodes, StoreWatch, StoreAnnounce, StoreWithdraw,
-                 WriteLog, RecordTime, StopProcess>;
+using Action = std::variant<AnswerCaller, OpenLink, CloseLink, PingLink,
+                            SendCall, SendCancel, SendRevoke, SendSync,
+                            AnswerCall, AnswerRevoke, AnswerSync, DispatchWork,
+                            CancelWork, ProbeBackend, SendDatagram, StoreList,
+                            StoreListNodes, StoreWatch, StoreAnnounce,
+                            StoreWithdraw, WriteLog, RecordTime, StopProcess>;
 
 } // namespace fulmarshelf
 
--- a/include/fulmarshelf/detail/engine/inputs.hpp
+++ b/include/fulmarshelf/detail/engine/inputs.hpp
@@ -144,6 +144,11 @@
   bool NeverSent_ = false; ///< no byte of the request left this node
 };
 
+/// @brief The check that ProbeBackend requested has ended.
+struct BackendProbed {
+  bool Refused_ = false; ///< no process listens at the backend server's address
+};
+
 /// @brief A datagram arrived.
 struct DatagramArrived {
   Endpoint From_;
@@ -220,7 +225,7 @@
                  CallStreamClosed, ReplyArrived, AttemptStreamClosed,
                  RevokeArrived, RevokeAnswered, SyncArrived, SyncAnswered,
                  LinkEstablished, LinkClosed, LinkActivity, BackendAnnounced,
-                 BackendDeparted, BackendAnswered, BackendFailed,
+                 BackendDeparted, BackendAnswered, BackendFailed, BackendProbed,
                  DatagramArrived, StoreListed, StoreUnreadable,
                  StoreNodesListed, StoreWatched, StoreAnnounced, StoreFailed,
                  QuarantineReleased, LeaveRequested>;
--- a/include/fulmarshelf/detail/engine/systems.hpp
+++ b/include/fulmarshelf/detail/engine/systems.hpp
@@ -101,6 +101,16 @@
 /// @brief Maintains the state of this node's backend server.
 namespace backend_system {
 void announce(NodeState &Node, const BackendAnnounced &Input);
+/// @brief Records a request that was sent and lost its connection, and checks
+/// soon whether the backend server has crashed.
+void onRequestLost(NodeState &Node, const RequestDigest &Digest);
+/// @brief Handles a refused connection: the backend server gets no work for a
+/// short time.
+void onRefused(NodeState &Node);
+/// @brief Requests the check for a crash, unless the backend server has
+/// answered since.
+void probe(NodeState &Node);
+void onProbed(NodeState &Node, const BackendProbed &Input);
 /// @brief Handles a sign that the backend server has ended unannounced: it
 /// refuses connections, or another incarnation announces itself.
 void onCrashConfirmed(NodeState &Node);
--- a/include/fulmarshelf/detail/engine/tables.hpp
+++ b/include/fulmarshelf/detail/engine/tables.hpp
@@ -129,6 +129,7 @@
   bool ReplacedUnannounced_ = false; ///< another incarnation has its address
   TimePoint LastHeardAt_;            ///< last announcement or answer
   TimePoint SuspectUntil_;     ///< end of the pause after a refused connection
+  bool ProbePending_ = false;  ///< a check for a crash is due or in progress
   TimePoint IncarnationSince_; ///< first announcement of its incarnation
   TimePoint FirstDispatchAt_;  ///< first request sent to its incarnation
   bool HasAnswered_ = false;   ///< its incarnation has answered a request
@@ -172,6 +173,7 @@
   TicketExpiry,
   LeaveCheck,
   QuarantineSpread,
+  CrashProbe,
 };
 
 /// @brief A scheduled run of a system; timers of entities that no longer exist
--- a/include/fulmarshelf/detail/quarantine/crash_detector.hpp
+++ b/include/fulmarshelf/detail/quarantine/crash_detector.hpp
@@ -14,7 +14,9 @@
 ///
 /// A lost connection alone does not show a crash: a faulty server loses single
 /// answers. The crash is confirmed when the server then refuses a connection or
-/// another incarnation announces itself, without an answer in between.
+/// another incarnation announces itself, without an answer in between. The
+/// owner opens a connection for this check, since placement avoids a failing
+/// owner and no other request may arrive.
 class CrashDetector {
 public:
   /// @brief A request that had been sent ended without an answer, because its
@@ -24,6 +26,9 @@
   /// @brief The server answered, so it had not crashed.
   void onAnswer(TimePoint Now);
 
+  /// @brief True while requests are lost and the server has not answered since.
+  bool isSuspected() const { return !Lost_.empty(); }
+
   /// @brief The server leaves as planned, or another node state makes the lost
   /// requests no evidence.
   void reset() { Lost_.clear(); }
--- a/include/fulmarshelf/detail/shell/node_shell.hpp
+++ b/include/fulmarshelf/detail/shell/node_shell.hpp
@@ -1,14 +1,15 @@
 #ifndef FULMARSHELF_DETAIL_SHELL_NODE_SHELL_HPP
 #define FULMARSHELF_DETAIL_SHELL_NODE_SHELL_HPP
 
-#include "fulmarshelf/detail/engine/engine.hpp"      // Engine
-#include "fulmarshelf/detail/shell/dialect.hpp"      // Dialect
-#include "fulmarshelf/detail/shell/event_writer.hpp" // EventWriter
-#include "fulmarshelf/detail/shell/http_client.hpp"  // HttpClient
-#include "fulmarshelf/detail/shell/http_server.hpp"  // HttpServer
-#include "fulmarshelf/detail/shell/metrics.hpp"      // Metrics
-#include "fulmarshelf/detail/shell/peer_network.hpp" // PeerNetwork
-#include "fulmarshelf/detail/shell/store_client.hpp" // StoreClient
+#include "fulmarshelf/detail/engine/engine.hpp"          // Engine
+#include "fulmarshelf/detail/shell/connection_probe.hpp" // ConnectionProbe
+#include "fulmarshelf/detail/shell/dialect.hpp"          // Dialect
+#include "fulmarshelf/detail/shell/event_writer.hpp"     // EventWriter
+#include "fulmarshelf/detail/shell/http_client.hpp"      // HttpClient
+#include "fulmarshelf/detail/shell/http_server.hpp"      // HttpServer
+#include "fulmarshelf/detail/shell/metrics.hpp"          // Metrics
+#include "fulmarshelf/detail/shell/peer_network.hpp"     // PeerNetwork
+#include "fulmarshelf/detail/shell/store_client.hpp"     // StoreClient
 
 #include <boost/asio/ip/udp.hpp>       // udp
 #include <boost/asio/steady_timer.hpp> // steady_timer
@@ -78,6 +79,7 @@
   HttpServer Operators_;
   PeerNetwork Peers_;
   HttpClient BackendCalls_;
+  ConnectionProbe BackendProbe_;
   StoreClient Store_;
   std::unique_ptr<HttpServer> MetricsPages_; ///< nullptr: not configured
   std::optional<CallerLimits> CallerLimits_; ///< limits last applied
--- a/src/engine/backend_system.cpp
+++ b/src/engine/backend_system.cpp
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr Micros CheckInterval = millis(500);
+constexpr Micros RefusedConnectionBackoff = millis(200);
+// A server that has not crashed usually answers another request in this time.
+constexpr Micros CrashProbeDelay = millis(25);
 // A backend server is lost after three missing announcements in a row. With a
 // route table the timeout is longer, since an announcement may arrive seconds
 // late.
@@ -103,6 +106,34 @@
   quarantine_system::onCrash(Node, InProgress);
 }
 
+void onRequestLost(NodeState &Node, const RequestDigest &Digest) {
+  Node.Crashes_.onLost(Node.Now_, Digest);
+  if (Node.Backend_.ProbePending_)
+    return;
+  Node.Backend_.ProbePending_ = true;
+  setTimer(Node, CrashProbeDelay, TimerKind::CrashProbe);
+}
+
+void onRefused(NodeState &Node) {
+  Node.Backend_.SuspectUntil_ = Node.Now_ + RefusedConnectionBackoff;
+  onCrashConfirmed(Node);
+}
+
+void probe(NodeState &Node) {
+  if (Node.Crashes_.isSuspected())
+    emit(Node, ProbeBackend{Node.Backend_.Announcement_.Address_});
+  else
+    Node.Backend_.ProbePending_ = false;
+}
+
+void onProbed(NodeState &Node, const BackendProbed &Input) {
+  Node.Backend_.ProbePending_ = false;
+  if (Input.Refused_ && Node.Crashes_.isSuspected())
+    onRefused(Node);
+  else
+    Node.Crashes_.reset();
+}
+
 void announce(NodeState &Node, const BackendAnnounced &Input) {
   const Announcement &Received = Input.Announcement_;
   Backend &Local = Node.Backend_;
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -69,6 +69,9 @@
   void operator()(const BackendFailed &Input) const {
     owner_system::onFailure(Node_, Input.Work_, Input.NeverSent_);
   }
+  void operator()(const BackendProbed &Input) const {
+    backend_system::onProbed(Node_, Input);
+  }
   void operator()(const DatagramArrived &Input) const {
     membership_system::receive(Node_, Input);
   }
@@ -162,6 +165,8 @@
     link_system::removeFormerMembers(State_);
     setTimer(State_, TicketExpiryInterval, TimerKind::TicketExpiry);
     return;
+  case TimerKind::CrashProbe:
+    return backend_system::probe(State_);
   case TimerKind::QuarantineSpread:
     State_.QuarantineSpread_.TimerSet_ = false;
     return quarantine_system::spread(State_);
--- a/src/engine/owner_system.cpp
+++ b/src/engine/owner_system.cpp
@@ -17,7 +17,6 @@
 // expected one, so that the answer still arrives before the deadline.
 constexpr std::int64_t QueueTimeDivisor = 2;
 constexpr std::uint16_t FirstFailureStatus = 500;
-constexpr Micros RefusedConnectionBackoff = millis(200);
 constexpr Micros MaxRetryAfter = millis(5000);
 constexpr Micros VmSharesInterval = millis(1000);
 
@@ -214,15 +213,12 @@
 
 // A request of a server that leaves is no evidence of a crash, since such a
 // server may close its connections.
-void recordLoss(NodeState &Node, const Work &Lost, bool NeverSent) {
+void recordLoss(NodeState &Node, const Work &Lost) {
   const Backend &Local = Node.Backend_;
   bool IsLeaving = Local.Announcement_.State_ == BackendState::Draining;
   if (IsLeaving || Lost.Dispatched_ < Local.IncarnationSince_)
     return;
-  if (NeverSent)
-    backend_system::onCrashConfirmed(Node);
-  else
-    Node.Crashes_.onLost(Node.Now_, digestOf(Lost.Http_));
+  backend_system::onRequestLost(Node, digestOf(Lost.Http_));
 }
 
 void recordShortWork(NodeState &Node, const Work &NewWork) {
@@ -399,11 +395,12 @@
   if (Entry == Node.Works_.end())
     return;
   freeSlot(Node, Entry->second);
-  recordLoss(Node, Entry->second, NeverSent);
   Node.Limit_.onOverload(Node.Now_, Node.Running_ + 1);
   Node.Failures_.onCallEnded(Node.Now_, true);
   if (NeverSent)
-    Node.Backend_.SuspectUntil_ = Node.Now_ + RefusedConnectionBackoff;
+    backend_system::onRefused(Node);
+  else
+    recordLoss(Node, Entry->second);
   log(Node, EventNumber::WorkFinished,
       {{"work", toString(Id)},
        {"status", "none"},
--- a/src/shell/node_shell.cpp
+++ b/src/shell/node_shell.cpp
@@ -143,6 +143,9 @@
     Shell_.WorkOfCall_.erase(Entry->second);
     Shell_.CallOfWork_.erase(Entry);
   }
+  void operator()(const ProbeBackend &Command) const {
+    Shell_.BackendProbe_.start(Command.Backend_);
+  }
   void operator()(const SendDatagram &Command) const {
     Shell_.sendDatagram(Command);
   }
@@ -208,6 +211,9 @@
                     [this](HttpCallId Call, const HttpResult &Result) {
                       onBackendDone(Call, Result);
                     }),
+      BackendProbe_(
+          Context,
+          [this](bool Refused) { handleInput(BackendProbed{Refused}); }),
       Store_(Context, Config.Settings_,
              [this](Input NewInput) { handleInput(std::move(NewInput)); }),
       Datagrams_(Context,
--- a/tests/golden/runner.cpp
+++ b/tests/golden/runner.cpp
@@ -266,6 +266,8 @@
   if (Word == "failed")
     return BackendFailed{WorkId{Source.number("work", 1)},
                          Source.text("never-sent") == "yes"};
+  if (Word == "probed")
+    return BackendProbed{Source.text("refused") == "yes"};
   if (Word == "member")
     return memberOf(Source);
   if (Word == "listed")
@@ -375,6 +377,7 @@
   void operator()(const CancelWork &Emitted) const {
     line("cancel-work " + std::to_string(Emitted.Work_.Value_));
   }
+  void operator()(const ProbeBackend &) const { line("probe-backend"); }
   void operator()(const SendDatagram &) const {}
   void operator()(const StoreList &Emitted) const {
     line(Emitted.Collection_ == Collection::Teams ? "store-list"
--- a/tests/mutants/mutants.py
+++ b/tests/mutants/mutants.py
@@ -24,6 +24,13 @@
 ENTRIES = "src/routing/entry_distribution.cpp"
 
 CORE = [
+    Mutant(
+        "lost-connection-is-not-checked-for-a-crash",
+        "src/engine/backend_system.cpp",
+        "  setTimer(Node, CrashProbeDelay, TimerKind::CrashProbe);\n",
+        "",
+        "golden",
+    ),
     Mutant(
         "crashing-request-is-never-set-aside",
         "src/quarantine/quarantine.cpp",
--- a/tests/unit/suspect_work_test.cpp
+++ b/tests/unit/suspect_work_test.cpp
@@ -60,6 +60,15 @@
     quarantine_system::onNews(Node_, {{Report}, {}});
   }
 
+  // Checks for a crash that the node has requested since the last call.
+  std::size_t probes() {
+    std::size_t Count = 0;
+    for (const Action &Requested : Node_.Actions_)
+      Count += std::holds_alternative<ProbeBackend>(Requested) ? 1 : 0;
+    Node_.Actions_.clear();
+    return Count;
+  }
+
   // Datagrams with news that the node has sent since the last call.
   std::size_t newsSent() {
     std::size_t Count = 0;
@@ -148,3 +157,36 @@
   CHECK(Node_.Quarantine_.suspicion(Node_.Now_, digestOf(request(1))) ==
         Suspicion::Suspect);
 }
+
+// Placement avoids a failing owner, so no other request may show the crash.
+TEST(SuspectWork, LostConnectionIsCheckedForACrash) {
+  admit(1, false);
+  owner_system::onFailure(Node_, WorkId{1}, false);
+  LONGS_EQUAL(0, probes());
+  Node_.Now_ += millis(25);
+  backend_system::probe(Node_);
+  LONGS_EQUAL(1, probes());
+  backend_system::onProbed(Node_, {true});
+  CHECK(Node_.Quarantine_.suspicion(Node_.Now_, digestOf(request(1))) ==
+        Suspicion::Suspect);
+  CHECK(Node_.Now_ < Node_.Backend_.SuspectUntil_);
+}
+
+TEST(SuspectWork, ServerThatAcceptsConnectionsHasNotCrashed) {
+  admit(1, false);
+  owner_system::onFailure(Node_, WorkId{1}, false);
+  backend_system::probe(Node_);
+  backend_system::onProbed(Node_, {false});
+  backend_system::onCrashConfirmed(Node_);
+  CHECK(Node_.Quarantine_.empty());
+}
+
+TEST(SuspectWork, ServerThatAnswersIsNotProbed) {
+  admit(1, false);
+  admit(2, false);
+  owner_system::onFailure(Node_, WorkId{1}, false);
+  Node_.Now_ += millis(22);
+  owner_system::onAnswer(Node_, {WorkId{2}, {200, {}, {}}, {}});
+  backend_system::probe(Node_);
+  LONGS_EQUAL(0, probes());
+}
