Do not count responses that the node broke off as evidence of a crash

Cause: the node closes its connection at a malformed or oversized response. Such a call ended as `sent, no answer`, like a connection that the server closes. The check for a crash then found the port closed, since the test ends its server between two cases, and the one request in progress was set aside after two such ends. Log lines: 1612 with in_progress=1 at both nodes 25 ms after the last 1303, then 1613.

Ruled out: requests of the killed first server (none was in progress), a wrong digest (all twenty requests are equal in path, caller and body).

The client now reports how a call failed: not sent, connection lost, or aborted by this process. Only a lost connection is evidence.

--- a/include/fulmarshelf/detail/engine/inputs.hpp
+++ b/include/fulmarshelf/detail/engine/inputs.hpp
@@ -5,6 +5,7 @@
 #include "fulmarshelf/detail/membership/gossip_message.hpp" // SyncMessage
 #include "fulmarshelf/detail/quarantine/request_digest.hpp" // RequestDigest
 #include "fulmarshelf/detail/settings/registry.hpp"         // SubtreeVersion
+#include "fulmarshelf/detail/wire/call_failure.hpp"         // CallFailure
 #include "fulmarshelf/detail/wire/http.hpp"                 // HttpRequest
 #include "fulmarshelf/detail/wire/messages.hpp"             // CallMessage
 
@@ -141,7 +142,7 @@
 /// @brief The backend server did not answer.
 struct BackendFailed {
   WorkId Work_;
-  bool NeverSent_ = false; ///< no byte of the request left this node
+  CallFailure Reason_ = CallFailure::NotSent;
 };
 
 /// @brief The check that ProbeBackend requested has ended.
--- a/include/fulmarshelf/detail/engine/systems.hpp
+++ b/include/fulmarshelf/detail/engine/systems.hpp
@@ -75,7 +75,7 @@
            const CallContext &Context, const HttpRequest &Http);
 void runQueue(NodeState &Node);
 void onAnswer(NodeState &Node, const BackendAnswered &Input);
-void onFailure(NodeState &Node, WorkId Id, bool NeverSent);
+void onFailure(NodeState &Node, WorkId Id, CallFailure Reason);
 void onDeadline(NodeState &Node, WorkId Id);
 /// @brief Cancels work whose answer is no longer needed. Non-idempotent running
 /// work continues to its end.
--- a/include/fulmarshelf/detail/shell/http_client.hpp
+++ b/include/fulmarshelf/detail/shell/http_client.hpp
@@ -3,6 +3,7 @@
 
 #include "fulmarshelf/detail/shell/connection_table.hpp" // ConnectionTable
 #include "fulmarshelf/detail/shell/http1_session.hpp"    // HttpClientSession
+#include "fulmarshelf/detail/wire/call_failure.hpp"      // CallFailure
 
 #include <chrono>        // milliseconds
 #include <functional>    // function
@@ -20,7 +21,7 @@
 
 /// @brief A call ended without a complete response.
 struct HttpFailure {
-  bool NeverSent_ = false; ///< no byte of the request left this process
+  CallFailure Reason_ = CallFailure::NotSent;
 };
 
 /// @brief Outcome of a call.
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -67,7 +67,7 @@
     owner_system::onAnswer(Node_, Input);
   }
   void operator()(const BackendFailed &Input) const {
-    owner_system::onFailure(Node_, Input.Work_, Input.NeverSent_);
+    owner_system::onFailure(Node_, Input.Work_, Input.Reason_);
   }
   void operator()(const BackendProbed &Input) const {
     backend_system::onProbed(Node_, Input);
--- a/src/engine/owner_system.cpp
+++ b/src/engine/owner_system.cpp
@@ -390,16 +390,17 @@
   runQueue(Node);
 }
 
-void onFailure(NodeState &Node, WorkId Id, bool NeverSent) {
+void onFailure(NodeState &Node, WorkId Id, CallFailure Reason) {
   auto Entry = Node.Works_.find(Id);
   if (Entry == Node.Works_.end())
     return;
   freeSlot(Node, Entry->second);
   Node.Limit_.onOverload(Node.Now_, Node.Running_ + 1);
   Node.Failures_.onCallEnded(Node.Now_, true);
+  bool NeverSent = Reason == CallFailure::NotSent;
   if (NeverSent)
     backend_system::onRefused(Node);
-  else
+  if (Reason == CallFailure::ConnectionLost)
     recordLoss(Node, Entry->second);
   log(Node, EventNumber::WorkFinished,
       {{"work", toString(Id)},
--- a/src/shell/http_client.cpp
+++ b/src/shell/http_client.cpp
@@ -39,9 +39,10 @@
       auto CallEntry = Calls_.find(NewCall);
       if (Error || CallEntry == Calls_.end())
         return;
-      bool NeverSent = !CallEntry->second.Sent_;
+      CallFailure Reason =
+          CallEntry->second.Sent_ ? CallFailure::Aborted : CallFailure::NotSent;
       drop(CallEntry->second.Connection_);
-      finish(NewCall, HttpFailure{NeverSent});
+      finish(NewCall, HttpFailure{Reason});
     });
   }
   Entry.Matches_ = Options.Matches_;
@@ -131,7 +132,7 @@
     return;
   case ClientResult::Broken:
     drop(Source);
-    finish(CurrentCall, HttpFailure{false});
+    finish(CurrentCall, HttpFailure{CallFailure::Aborted});
     return;
   }
 }
@@ -154,7 +155,7 @@
                        });
   HttpCallId FailedCall = Largest->second.Call_;
   drop(Largest->first);
-  finish(FailedCall, HttpFailure{false});
+  finish(FailedCall, HttpFailure{CallFailure::Aborted});
 }
 
 void HttpClient::onClosed(ConnectionId Source, CloseReason Reason) {
@@ -179,7 +180,9 @@
   if (Matches)
     finish(EndedCall, Response);
   else
-    finish(EndedCall, HttpFailure{!CallEntry->second.Sent_});
+    finish(EndedCall,
+           HttpFailure{CallEntry->second.Sent_ ? CallFailure::ConnectionLost
+                                               : CallFailure::NotSent});
 }
 
 void HttpClient::drop(ConnectionId Connection) {
@@ -216,7 +219,7 @@
 HttpResult fetch(const Endpoint &Peer, const HttpRequest &Request,
                  std::chrono::milliseconds Timeout) {
   boost::asio::io_context Context;
-  HttpResult Result = HttpFailure{true};
+  HttpResult Result = HttpFailure{CallFailure::NotSent};
   HttpLimits Limits;
   Limits.BodyBytes_ = std::uint64_t{16} * 1024 * 1024;
   HttpClient Client(
--- a/src/shell/node_shell.cpp
+++ b/src/shell/node_shell.cpp
@@ -432,7 +432,7 @@
                                     },
                                     Dialect_)});
   else
-    handleInput(BackendFailed{Work, std::get<HttpFailure>(Result).NeverSent_});
+    handleInput(BackendFailed{Work, std::get<HttpFailure>(Result).Reason_});
 }
 
 // Passes valid notices of the backend server to the core, and logs malformed
--- a/tests/golden/runner.cpp
+++ b/tests/golden/runner.cpp
@@ -265,7 +265,9 @@
     return backendAnswerOf(Source);
   if (Word == "failed")
     return BackendFailed{WorkId{Source.number("work", 1)},
-                         Source.text("never-sent") == "yes"};
+                         Source.text("never-sent") == "yes"
+                             ? CallFailure::NotSent
+                             : CallFailure::ConnectionLost};
   if (Word == "probed")
     return BackendProbed{Source.text("refused") == "yes"};
   if (Word == "member")
--- a/tests/mutants/mutants.py
+++ b/tests/mutants/mutants.py
@@ -31,6 +31,13 @@
         "",
         "golden",
     ),
+    Mutant(
+        "response-that-the-node-broke-off-is-evidence-of-a-crash",
+        "src/engine/owner_system.cpp",
+        "  if (Reason == CallFailure::ConnectionLost)\n",
+        "  if (!NeverSent)\n",
+        "unit",
+    ),
     Mutant(
         "crashing-request-is-never-set-aside",
         "src/quarantine/quarantine.cpp",
--- a/tests/unit/suspect_work_test.cpp
+++ b/tests/unit/suspect_work_test.cpp
@@ -141,7 +141,7 @@
 TEST(SuspectWork, ServerThatLeavesGivesNoEvidence) {
   admit(1, false);
   backend_system::depart(Node_, {"i-1"});
-  owner_system::onFailure(Node_, WorkId{1}, false);
+  owner_system::onFailure(Node_, WorkId{1}, CallFailure::ConnectionLost);
   backend_system::onCrashConfirmed(Node_);
   CHECK(Node_.Quarantine_.empty());
 }
@@ -150,7 +150,7 @@
   Node_.Membership_.learn(Node_.Now_, {member("b")});
   Node_.Membership_.takeSends();
   admit(1, false);
-  owner_system::onFailure(Node_, WorkId{1}, false);
+  owner_system::onFailure(Node_, WorkId{1}, CallFailure::ConnectionLost);
   CHECK(Node_.Quarantine_.empty());
   backend_system::onCrashConfirmed(Node_);
   LONGS_EQUAL(1, newsSent());
@@ -158,10 +158,20 @@
         Suspicion::Suspect);
 }
 
+// The node closes the connection at a response that is malformed or too large.
+TEST(SuspectWork, ResponseThatTheNodeBrokeOffGivesNoEvidence) {
+  admit(1, false);
+  owner_system::onFailure(Node_, WorkId{1}, CallFailure::Aborted);
+  backend_system::probe(Node_);
+  LONGS_EQUAL(0, probes());
+  backend_system::onCrashConfirmed(Node_);
+  CHECK(Node_.Quarantine_.empty());
+}
+
 // Placement avoids a failing owner, so no other request may show the crash.
 TEST(SuspectWork, LostConnectionIsCheckedForACrash) {
   admit(1, false);
-  owner_system::onFailure(Node_, WorkId{1}, false);
+  owner_system::onFailure(Node_, WorkId{1}, CallFailure::ConnectionLost);
   LONGS_EQUAL(0, probes());
   Node_.Now_ += millis(25);
   backend_system::probe(Node_);
@@ -174,7 +184,7 @@
 
 TEST(SuspectWork, ServerThatAcceptsConnectionsHasNotCrashed) {
   admit(1, false);
-  owner_system::onFailure(Node_, WorkId{1}, false);
+  owner_system::onFailure(Node_, WorkId{1}, CallFailure::ConnectionLost);
   backend_system::probe(Node_);
   backend_system::onProbed(Node_, {false});
   backend_system::onCrashConfirmed(Node_);
@@ -184,7 +194,7 @@
 TEST(SuspectWork, ServerThatAnswersIsNotProbed) {
   admit(1, false);
   admit(2, false);
-  owner_system::onFailure(Node_, WorkId{1}, false);
+  owner_system::onFailure(Node_, WorkId{1}, CallFailure::ConnectionLost);
   Node_.Now_ += millis(22);
   owner_system::onAnswer(Node_, {WorkId{2}, {200, {}, {}}, {}});
   backend_system::probe(Node_);
