Confirm a crash by a refused connection only, not by a connection timeout

What callers would see: requests that were in progress at a backend server which is cut off become suspects, wait for each other, and with two such cuts are refused for five seconds, although nothing crashed.

Cause: every connection attempt that failed counted as `not sent`, and `not sent` confirmed the crash. A timeout, or a shortage of ports at the node itself, shows nothing about the process of the server.

The connection table reports a refusal apart from other failures, and only a refusal confirms. The pause of 200 ms after a failed connection stays for both.

ConnectionTimeoutGivesNoEvidence failed before (the quarantine had an entry).

--- a/include/fulmarshelf/detail/engine/systems.hpp
+++ b/include/fulmarshelf/detail/engine/systems.hpp
@@ -104,9 +104,10 @@
 /// @brief Records a request that was sent and lost its connection, and checks
 /// soon whether the backend server has crashed.
 void onRequestLost(NodeState &Node, const RequestDigest &Digest);
-/// @brief Handles a refused connection: the backend server gets no work for a
-/// short time.
-void onRefused(NodeState &Node);
+/// @brief Handles a connection that could not be opened: the backend server
+/// gets no work for a short time.
+/// @param Refused the address refused it, which confirms a suspected crash
+void onConnectFailed(NodeState &Node, bool Refused);
 /// @brief Requests the check for a crash, unless the backend server has
 /// answered since.
 void probe(NodeState &Node);
--- a/include/fulmarshelf/detail/engine/tables.hpp
+++ b/include/fulmarshelf/detail/engine/tables.hpp
@@ -128,7 +128,7 @@
   TimePoint ColdUntil_;          ///< end of its reported warm-up
   bool ReplacedUnannounced_ = false; ///< another incarnation has its address
   TimePoint LastHeardAt_;            ///< last announcement or answer
-  TimePoint SuspectUntil_;     ///< end of the pause after a refused connection
+  TimePoint SuspectUntil_;     ///< end of the pause after a failed connection
   bool ProbePending_ = false;  ///< a check for a crash is due or in progress
   TimePoint IncarnationSince_; ///< first announcement of its incarnation
   TimePoint FirstDispatchAt_;  ///< first request sent to its incarnation
--- a/include/fulmarshelf/detail/shell/connection_table.hpp
+++ b/include/fulmarshelf/detail/shell/connection_table.hpp
@@ -24,6 +24,7 @@
 /// @brief Reason for the end of a connection that this side did not close.
 enum class CloseReason : std::uint8_t {
   PeerClosed, ///< the peer closed the connection without an error
+  Refused,    ///< no process listens at the peer's address
   Failed,     ///< the connection was reset, timed out or never established
 };
 
--- a/src/engine/backend_system.cpp
+++ b/src/engine/backend_system.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr Micros CheckInterval = millis(500);
-constexpr Micros RefusedConnectionBackoff = millis(200);
+constexpr Micros FailedConnectionBackoff = millis(200);
 // A server that has not crashed usually answers another request in this time.
 constexpr Micros CrashProbeDelay = millis(25);
 // A backend server is lost after three missing announcements in a row. With a
@@ -114,9 +114,10 @@
   setTimer(Node, CrashProbeDelay, TimerKind::CrashProbe);
 }
 
-void onRefused(NodeState &Node) {
-  Node.Backend_.SuspectUntil_ = Node.Now_ + RefusedConnectionBackoff;
-  onCrashConfirmed(Node);
+void onConnectFailed(NodeState &Node, bool Refused) {
+  Node.Backend_.SuspectUntil_ = Node.Now_ + FailedConnectionBackoff;
+  if (Refused)
+    onCrashConfirmed(Node);
 }
 
 void probe(NodeState &Node) {
@@ -129,7 +130,7 @@
 void onProbed(NodeState &Node, const BackendProbed &Input) {
   Node.Backend_.ProbePending_ = false;
   if (Input.Refused_ && Node.Crashes_.isSuspected())
-    onRefused(Node);
+    onConnectFailed(Node, true);
   else
     Node.Crashes_.reset();
 }
--- a/src/engine/owner_system.cpp
+++ b/src/engine/owner_system.cpp
@@ -397,9 +397,10 @@
   freeSlot(Node, Entry->second);
   Node.Limit_.onOverload(Node.Now_, Node.Running_ + 1);
   Node.Failures_.onCallEnded(Node.Now_, true);
-  bool NeverSent = Reason == CallFailure::NotSent;
+  bool NeverSent =
+      Reason == CallFailure::Refused || Reason == CallFailure::NotSent;
   if (NeverSent)
-    backend_system::onRefused(Node);
+    backend_system::onConnectFailed(Node, Reason == CallFailure::Refused);
   if (Reason == CallFailure::ConnectionLost)
     recordLoss(Node, Entry->second);
   log(Node, EventNumber::WorkFinished,
--- a/src/shell/connection_table.cpp
+++ b/src/shell/connection_table.cpp
@@ -93,7 +93,9 @@
     Connection &Opened = Connections_.at(NewId);
     Opened.Timer_.cancel();
     if (Error) {
-      fail(NewId, CloseReason::Failed);
+      fail(NewId, Error == asio::error::connection_refused
+                      ? CloseReason::Refused
+                      : CloseReason::Failed);
       return;
     }
     Opened.Open_ = true;
--- a/src/shell/http_client.cpp
+++ b/src/shell/http_client.cpp
@@ -179,10 +179,12 @@
        CallEntry->second.Matches_(CallEntry->second.Request_, Response));
   if (Matches)
     finish(EndedCall, Response);
+  else if (CallEntry->second.Sent_)
+    finish(EndedCall, HttpFailure{CallFailure::ConnectionLost});
   else
     finish(EndedCall,
-           HttpFailure{CallEntry->second.Sent_ ? CallFailure::ConnectionLost
-                                               : CallFailure::NotSent});
+           HttpFailure{Reason == CloseReason::Refused ? CallFailure::Refused
+                                                      : CallFailure::NotSent});
 }
 
 void HttpClient::drop(ConnectionId Connection) {
--- a/tests/golden/runner.cpp
+++ b/tests/golden/runner.cpp
@@ -266,7 +266,7 @@
   if (Word == "failed")
     return BackendFailed{WorkId{Source.number("work", 1)},
                          Source.text("never-sent") == "yes"
-                             ? CallFailure::NotSent
+                             ? CallFailure::Refused
                              : CallFailure::ConnectionLost};
   if (Word == "probed")
     return BackendProbed{Source.text("refused") == "yes"};
--- a/tests/mutants/mutants.py
+++ b/tests/mutants/mutants.py
@@ -38,6 +38,13 @@
         "  if (!NeverSent)\n",
         "unit",
     ),
+    Mutant(
+        "connection-timeout-confirms-a-crash",
+        "src/engine/backend_system.cpp",
+        "  if (Refused)\n    onCrashConfirmed(Node);\n",
+        "  onCrashConfirmed(Node);\n",
+        "unit",
+    ),
     Mutant(
         "crashing-request-is-never-set-aside",
         "src/quarantine/quarantine.cpp",
--- a/tests/unit/suspect_work_test.cpp
+++ b/tests/unit/suspect_work_test.cpp
@@ -168,6 +168,27 @@
   CHECK(Node_.Quarantine_.empty());
 }
 
+// A cut off server neither accepts nor refuses connections.
+TEST(SuspectWork, ConnectionTimeoutGivesNoEvidence) {
+  admit(1, false);
+  admit(2, false);
+  owner_system::onFailure(Node_, WorkId{1}, CallFailure::ConnectionLost);
+  owner_system::onFailure(Node_, WorkId{2}, CallFailure::NotSent);
+  CHECK(Node_.Quarantine_.empty());
+  CHECK(Node_.Now_ < Node_.Backend_.SuspectUntil_);
+}
+
+TEST(SuspectWork, RefusedConnectionConfirmsACrash) {
+  admit(1, false);
+  admit(2, false);
+  owner_system::onFailure(Node_, WorkId{1}, CallFailure::ConnectionLost);
+  owner_system::onFailure(Node_, WorkId{2}, CallFailure::Refused);
+  CHECK(Node_.Quarantine_.suspicion(Node_.Now_, digestOf(request(1))) ==
+        Suspicion::Suspect);
+  CHECK(Node_.Quarantine_.suspicion(Node_.Now_, digestOf(request(2))) ==
+        Suspicion::None);
+}
+
 // Placement avoids a failing owner, so no other request may show the crash.
 TEST(SuspectWork, LostConnectionIsCheckedForACrash) {
   admit(1, false);
