Keep the evidence of a crash while the server only accepts connections

What callers would see: a server that is back within the 25 ms before the check, or whose supervisor keeps the listening socket, ends under each arrival of a crashing request, and no crash is ever reported.

Cause: an accepted connection discarded the lost requests, so the announcement of the next incarnation found none. Accepting does not show that the process which lost them still runs. Found by reading.

The evidence now stays until an answer, a planned departure or ten seconds, as before the check was added; the check only reports refusals early.

--- a/src/engine/backend_system.cpp
+++ b/src/engine/backend_system.cpp
@@ -131,8 +131,6 @@
   Node.Backend_.ProbePending_ = false;
   if (Input.Refused_ && Node.Crashes_.isSuspected())
     onConnectFailed(Node, true);
-  else
-    Node.Crashes_.reset();
 }
 
 void announce(NodeState &Node, const BackendAnnounced &Input) {
--- a/tests/mutants/mutants.py
+++ b/tests/mutants/mutants.py
@@ -45,6 +45,13 @@
         "  onCrashConfirmed(Node);\n",
         "unit",
     ),
+    Mutant(
+        "accepted-connection-discards-the-evidence",
+        "src/engine/backend_system.cpp",
+        "    onConnectFailed(Node, true);\n}",
+        "    onConnectFailed(Node, true);\n  else\n    Node.Crashes_.reset();\n}",
+        "unit",
+    ),
     Mutant(
         "crashing-request-is-never-set-aside",
         "src/quarantine/quarantine.cpp",
