Do not start a request that is set aside by preempting other work

What callers would see: a request that is set aside while it waits in the queue of a busy owner ends the server once more, and less important running work is cancelled for it.

Cause: fillSlots() checks the evidence against queued work, but preemptForUrgent() starts the front of the queue without the check. Nodes with a route table do not preempt. Found by reading all callers of dispatch().

Preemption now refuses work that is set aside, and leaves suspects to the limit on suspects that run at a time.

QueuedRequestThatIsSetAsideDoesNotPreempt failed before (the running request was cancelled).

--- a/src/engine/work_slots.cpp
+++ b/src/engine/work_slots.cpp
@@ -164,8 +164,16 @@
 void preemptForUrgent(NodeState &Node) {
   while (const QueuedWork *Front = Node.Queue_.front()) {
     QueuedWork Urgent = *Front;
+    Suspicion UrgentSuspicion =
+        quarantine_system::suspicionOf(Node, Node.Works_.at(Urgent.Work_));
+    if (UrgentSuspicion == Suspicion::SetAside) {
+      Node.Queue_.remove(Urgent.Work_);
+      evict(Node, Urgent, ErrorCode::SetAside);
+      continue;
+    }
     bool Overdue = Urgent.StartBy_ < Node.Now_;
-    if (Overdue || !Node.Rate_.mayAcquire(Node.Now_) ||
+    if (Overdue || !mayRunSuspect(Node, UrgentSuspicion) ||
+        !Node.Rate_.mayAcquire(Node.Now_) ||
         Urgent.StartBy_ > Node.Now_ + 2 * SweepInterval)
       return;
     std::optional<WorkId> Victim =
--- a/tests/mutants/mutants.py
+++ b/tests/mutants/mutants.py
@@ -52,6 +52,13 @@
         "    onConnectFailed(Node, true);\n  else\n    Node.Crashes_.reset();\n}",
         "unit",
     ),
+    Mutant(
+        "preemption-ignores-requests-that-are-set-aside",
+        "src/engine/work_slots.cpp",
+        "if (UrgentSuspicion == Suspicion::SetAside) {",
+        "if (false) {",
+        "unit",
+    ),
     Mutant(
         "crashing-request-is-never-set-aside",
         "src/quarantine/quarantine.cpp",
--- a/tests/unit/suspect_work_test.cpp
+++ b/tests/unit/suspect_work_test.cpp
@@ -45,8 +45,10 @@
     Node_.Backend_.HasAnswered_ = true;
   }
 
-  void admit(std::uint64_t Number, bool Suspect) {
+  void admit(std::uint64_t Number, bool Suspect, Rank Rank = 0) {
     CallContext Context;
+    Context.Idempotent_ = true;
+    Context.Rank_ = Rank;
     Context.TimeLeft_ = millis(2000);
     Context.Suspect_ = Suspect;
     owner_system::admit(Node_, {"b", 1, ++LastAttempt_}, std::monostate(),
@@ -125,6 +127,20 @@
   LONGS_EQUAL(0, Node_.Works_.size());
 }
 
+TEST(SuspectWork, QueuedRequestThatIsSetAsideDoesNotPreempt) {
+  Node_.Config_.Settings_.Interface_ = InterfaceKind::Native;
+  Node_.Limit_.setSlots(1);
+  admit(1, false, makeRank(0, false, 0));
+  admit(2, false, makeRank(3, false, 0));
+  LONGS_EQUAL(1, Node_.Running_);
+  crash(1, {2});
+  crash(2, {2});
+  Node_.Now_ = Node_.Queue_.front()->StartBy_;
+  owner_system::runQueue(Node_);
+  CHECK(Node_.Works_.contains(WorkId{1}));
+  LONGS_EQUAL(1, Node_.Running_);
+}
+
 TEST(SuspectWork, NewsIsPassedOnOnce) {
   Node_.Membership_.learn(Node_.Now_, {member("b"), member("c")});
   Node_.Membership_.takeSends();
