Ignore a rejection of the next incarnation that belongs to an earlier request

What callers saw: after all faults one of three servers of a service got no request for as long as it ran, though it was up and announced itself.

Cause: a node was frozen while its server crashed and came back. After the freeze it dispatched a request to the old instance, then read the announcement of the new one, then the new one's rejection (421) of that request. The rejection was applied to the new instance: `backend-lost ... another incarnation answers at its address`, 4 ms after its announcement. Only a further incarnation ends that state. Log of the node: 1302 work 527, 1605 front-1-3, 1606 front-1-3, 1303 work 527 status 421.

Ruled out: membership (all nodes passed on `service=none` in agreement), the server (it ran), the relay (not on the path).

A rejection now counts only when its request was sent after the announcement of the incarnation, as answers already do.

The golden session late_rejection_of_the_next_incarnation showed 1606 and no dispatch of the second request before; the second request is dispatched now.

--- a/include/fulmarshelf/detail/engine/systems.hpp
+++ b/include/fulmarshelf/detail/engine/systems.hpp
@@ -120,7 +120,8 @@
 void depart(NodeState &Node, const BackendDeparted &Input);
 /// @brief Handles an answer from another incarnation at the address of the
 /// backend server. That incarnation receives no work until it announces itself.
-void onOtherInstance(NodeState &Node);
+/// @param SentAt time at which the answered request was sent
+void onOtherInstance(NodeState &Node, TimePoint SentAt);
 /// @brief Applies what a response of the backend server says about the server.
 /// @param SentAt time at which the answered request was sent
 void onAnswer(NodeState &Node, TimePoint SentAt,
--- a/src/engine/backend_system.cpp
+++ b/src/engine/backend_system.cpp
@@ -207,9 +207,11 @@
     stopServing(Node);
 }
 
-void onOtherInstance(NodeState &Node) {
+void onOtherInstance(NodeState &Node, TimePoint SentAt) {
   Backend &Local = Node.Backend_;
-  if (Local.ReplacedUnannounced_)
+  // A request that was sent to the previous incarnation and that the announced
+  // one rejects says nothing about the announced one.
+  if (Local.ReplacedUnannounced_ || SentAt < Local.IncarnationSince_)
     return;
   Local.ReplacedUnannounced_ = true;
   log(Node, EventNumber::BackendLost,
--- a/src/engine/owner_system.cpp
+++ b/src/engine/owner_system.cpp
@@ -347,7 +347,7 @@
   bool NotExecuted = Input.Metadata_.NotExecuted_;
   Node.Backend_.LastHeardAt_ = Node.Now_;
   if (Input.Metadata_.OtherInstance_)
-    backend_system::onOtherInstance(Node);
+    backend_system::onOtherInstance(Node, Answered.Dispatched_);
   else
     backend_system::onAnswer(Node, Answered.Dispatched_, Input.Metadata_);
   unsigned InFlight = Node.Running_;
--- a/tests/mutants/mutants.py
+++ b/tests/mutants/mutants.py
@@ -24,6 +24,13 @@
 ENTRIES = "src/routing/entry_distribution.cpp"
 
 CORE = [
+    Mutant(
+        "late-rejection-of-an-earlier-request-stops-the-next-incarnation",
+        "src/engine/backend_system.cpp",
+        "Local.ReplacedUnannounced_ || SentAt < Local.IncarnationSince_",
+        "Local.ReplacedUnannounced_",
+        "golden",
+    ),
     Mutant(
         "lost-connection-is-not-checked-for-a-crash",
         "src/engine/backend_system.cpp",
