Apply the port offset to the relay of test_network

With FULMARSHELF_PORT_OFFSET two runs of the test shared the ports of the relay, so the nodes of one mesh joined the other. Found when several soaks ran beside each other with the same mistake (requests ran twice, since two meshes had nodes of the same names).

--- a/tests/failure/test_network.py
+++ b/tests/failure/test_network.py
@@ -4,11 +4,13 @@
 import time
 
 from harness import Mesh, http, plan, run_tests, stream_of
+from mesh import PORT_OFFSET
 
 
 def start(directory, port):
     """All traffic to the nodes of bookdesk and slotboard passes through the relay."""
     mesh = Mesh("kwan", directory, base_port=port)
+    port += PORT_OFFSET
     mesh.relay_admin = f"127.0.0.1:{port + 1}"
     maps = []
     relayed = mesh.of("bookdesk") + mesh.of("slotboard")
