Add a soak: real processes under faults drawn from seeds

Clients keep their connections until the node closes them, send pipelined requests and uploads. Checked from what clients and backend servers saw: at most one run of non-idempotent requests, truth of not-run answers, responses to the right request, the bounds of LIMIT and BUDGET, no node that ends by itself, a complete mesh and served requests after the faults. The stand-in writes a run log that outlives its process.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -42,6 +42,7 @@
   [ -e "$test" ] || continue
   step "$(basename "$test" .py)" /usr/bin/python3 "$test"
 done
+step soak /usr/bin/python3 tests/soak/soak.py --seeds 4-5 --seconds 40
 [ "$known" -eq 0 ] || echo "passed over as known red: $known"
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
--- a/tools/instance_standin.cpp
+++ b/tools/instance_standin.cpp
@@ -13,6 +13,7 @@
 
 #include <cstdlib>       // _Exit
 #include <deque>         // deque
+#include <fstream>       // ofstream
 #include <iostream>      // cerr
 #include <map>           // map
 #include <unordered_map> // unordered_map
@@ -39,6 +40,9 @@
   std::chrono::milliseconds RunTime_{20};
   /// Part of the targets whose requests end the process; empty: none.
   std::string CrashTarget_;
+  /// File that outlives the process, with a line for each arrival and each
+  /// run; empty: none.
+  std::string RunLog_;
 };
 
 struct Faults {
@@ -80,6 +84,8 @@
                [this](CallerKey Caller) { cancel(Caller); }}),
         Heartbeats_(Context, HttpLimits(), 1,
                     [](HttpCallId, const HttpResult &) {}) {
+    if (!Shape_.RunLog_.empty())
+      RunLog_.open(Shape_.RunLog_, std::ios::app);
     scheduleHeartbeat();
   }
 
@@ -122,6 +128,7 @@
       return;
     }
     Arrivals_.push_back(nowMs());
+    logRun("arrival", Dispatch.RequestId_);
     if (Faults_.Refusals_ > 0) {
       --Faults_.Refusals_;
       Http_.respond(Caller, encodeNotExecutedResponse(Dispatch, FullStatus));
@@ -134,6 +141,11 @@
     startQueued();
   }
 
+  void logRun(const char *Event, const std::string &RequestId) {
+    if (RunLog_.is_open())
+      RunLog_ << Event << ' ' << nowMs() << ' ' << RequestId << std::endl;
+  }
+
   void startQueued() {
     while (!Queued_.empty() && Running_.size() < Shape_.Slots_) {
       QueuedRun Next = Queued_.front();
@@ -144,6 +156,7 @@
 
   void start(const QueuedRun &Next) {
     ++Runs_[Next.Dispatch_.RequestId_];
+    logRun("run", Next.Dispatch_.RequestId_);
     CallerKey Caller = Next.Caller_;
     if (Next.Crashes_)
       crashSoon();
@@ -252,6 +265,7 @@
   std::unordered_map<CallerKey, Run> Running_;
   std::map<std::string, std::uint64_t> Runs_;
   std::vector<std::uint64_t> Arrivals_; ///< ms since 1970, of all requests
+  std::ofstream RunLog_;
   std::uint64_t Misdirected_ = 0;
   boost::asio::steady_timer Timer_;
   HttpServer Http_;
@@ -279,6 +293,9 @@
   TCLAP::ValueArg<std::string> CrashTarget(
       "c", "crash-target", "part of the targets whose requests end the process",
       false, "", "text", Line);
+  TCLAP::ValueArg<std::string> RunLog(
+      "r", "run-log", "file that gets a line for each arrival and each run",
+      false, "", "path", Line);
   Line.parse(Count, Arguments);
   Shape Config{Service.getValue(),
                Instance.getValue(),
@@ -286,7 +303,8 @@
                {},
                Slots.getValue(),
                std::chrono::milliseconds(RunMs.getValue()),
-               CrashTarget.getValue()};
+               CrashTarget.getValue(),
+               RunLog.getValue()};
   if (!parseEndpoint(Address.getValue(), Config.Address_) ||
       !parseEndpoint(Node.getValue(), Config.Node_) || Config.Slots_ == 0) {
     std::cerr << "instance_standin: needs IP:PORT for --listen and --node, and "
