--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -20,7 +20,7 @@
 from route_mesh import RouteMesh  # noqa: E402
 from schedule import draw  # noqa: E402
 
-BASE_PORT = 25000
+BASE_PORT = 12600
 WORKERS = {"front": 3, "deep": 3}
 CRASH_PREFIX = "crash"
 SERVER_RESTART_SECONDS = 1.5
