--- a/tests/failure/test_crashing_request.py
+++ b/tests/failure/test_crashing_request.py
@@ -184,6 +184,22 @@
         )
 
 
+def frequent_request_survives_simultaneous_crashes(checker, directory):
+    """All servers of a service end at once, each while it runs the same innocent
+    request, as when a dependency or the power of a failure domain fails."""
+    with CrashingMesh(directory, 13800, {"front": 4, "deep": 1}, run_ms=200).start() as mesh:
+        with Load(mesh, mesh.workers, {"same": (0.05, 12)}) as load:
+            time.sleep(1.5)
+            for worker in mesh.of("front"):
+                worker.backend_process.kill()
+            wait_until(lambda: len(mesh.crashes) >= 4, "all servers have ended", 5)
+            time.sleep(3 * STABLE_WINDOW_SECONDS)
+        share = load.served_share("same", mesh.crashes[3] + STABLE_WINDOW_SECONDS)
+        checker.require(
+            share >= 0.99, f"{share:.3f} of the frequent requests served after the crashes"
+        )
+
+
 def operator_lists_and_releases_the_request(checker, directory):
     with CrashingMesh(directory, 12400, {"front": 3, "deep": 1}).start() as mesh:
         with Load(mesh, mesh.workers, {"crash": (0.1, 1)}):
@@ -219,6 +235,7 @@
             crashing_request_is_not_sent_on,
             restarted_node_knows_the_crashing_request,
             crash_is_reported_while_no_other_request_arrives,
+            frequent_request_survives_simultaneous_crashes,
             operator_lists_and_releases_the_request,
         ]
     )
