Try a request again at one owner only after simultaneous crashes

What callers would see: with copies of a crashing request at several entries at the same time, all first crashes are simultaneous; when its short time is over it is tried at several owners at once, and as many servers end again.

Cause: the rule that a strong suspect runs alone holds for each owner, not for the mesh; made such a second round possible.

A request with three or more crashes at one time now runs only at the owner of its service with the largest rendezvous weight; other owners refuse it as set aside until it is cleared or set aside for long.

--- a/include/fulmarshelf/detail/quarantine/quarantine.hpp
+++ b/include/fulmarshelf/detail/quarantine/quarantine.hpp
@@ -76,6 +76,10 @@
   /// @brief Current suspicion; O(log n).
   Suspicion suspicion(TimePoint Now, const RequestDigest &Digest) const;
 
+  /// @brief True after as many crashes as set a request aside for LongTime,
+  /// simultaneous ones included; O(log n).
+  bool hasManyCrashes(const RequestDigest &Digest) const;
+
   /// @brief True when the request was served after the last crash beside it and
   /// within ServedTime, so that a further crash is no evidence.
   bool wasServed(TimePoint Now, const RequestDigest &Digest) const;
--- a/src/engine/quarantine_system.cpp
+++ b/src/engine/quarantine_system.cpp
@@ -1,5 +1,6 @@
-#include "fulmarshelf/detail/base/hash.hpp"      // stableHash
-#include "fulmarshelf/detail/engine/systems.hpp" // quarantine_system
+#include "fulmarshelf/detail/base/hash.hpp"         // stableHash
+#include "fulmarshelf/detail/engine/systems.hpp"    // quarantine_system
+#include "fulmarshelf/detail/membership/member.hpp" // rendezvousWeight
 
 #include <algorithm> // max, shuffle, stable_partition
 
@@ -54,6 +55,26 @@
       {{"digest", toString(Digest)}, {"source", Source}});
 }
 
+// True when this node, of all owners of its service, runs the request.
+bool isTrialOwner(const NodeState &Node, const RequestDigest &Digest) {
+  std::string Key = toString(Digest);
+  std::uint64_t LocalWeight = rendezvousWeight(Key, localNodeName(Node));
+  for (const Member &Other : Node.Membership_.available())
+    if (Other.Service_ == Node.Backend_.Announcement_.Service_ &&
+        rendezvousWeight(Key, Other.Node_) > LocalWeight)
+      return false;
+  return true;
+}
+
+// A request whose crashes were all simultaneous runs again. Copies of it may be
+// at several owners at the same time, so only one owner runs it.
+Suspicion suspicionAtOwner(const NodeState &Node, const RequestDigest &Digest) {
+  Suspicion Known = Node.Quarantine_.suspicion(Node.Now_, Digest);
+  bool IsTrial = Known == Suspicion::StrongSuspect &&
+                 Node.Quarantine_.hasManyCrashes(Digest);
+  return IsTrial && !isTrialOwner(Node, Digest) ? Suspicion::SetAside : Known;
+}
+
 } // namespace
 
 void onCrash(NodeState &Node, const std::vector<RequestDigest> &InProgress) {
@@ -125,8 +146,7 @@
     return FromCaller;
   if (!Current.Digest_)
     Current.Digest_ = digestOf(Current.Http_);
-  return std::max(FromCaller,
-                  Node.Quarantine_.suspicion(Node.Now_, *Current.Digest_));
+  return std::max(FromCaller, suspicionAtOwner(Node, *Current.Digest_));
 }
 
 Suspicion suspicionOf(const NodeState &Node, const HttpRequest &Request) {
--- a/src/quarantine/quarantine.cpp
+++ b/src/quarantine/quarantine.cpp
@@ -160,6 +160,10 @@
          Now - Existing->second.ServedAt_ < ServedTime;
 }
 
+bool Quarantine::hasManyCrashes(const RequestDigest &Digest) const {
+  return crashes(Digest) >= CrashesToSetAside;
+}
+
 std::vector<QuarantinedRequest> Quarantine::requests(TimePoint Now) const {
   std::vector<QuarantinedRequest> Result;
   for (const std::pair<const RequestDigest, Entry> &Known : Entries_)
--- a/tests/failure/test_crashing_request.py
+++ b/tests/failure/test_crashing_request.py
@@ -142,6 +142,15 @@
             )
 
 
+def simultaneous_copies_are_not_tried_at_once(checker, directory):
+    """The request comes at several entries at the same time, so that all its crashes
+    are simultaneous and it is tried again later."""
+    with CrashingMesh(directory, 13900, {"front": 8, "deep": 1}).start() as mesh:
+        with Load(mesh, mesh.workers, {"crash": (0.25, 6)}):
+            time.sleep(2 * FEW_SECONDS)
+        check_crashes(checker, mesh)
+
+
 def restarted_node_knows_the_crashing_request(checker, directory):
     """Each node is restarted in turn after the request is known."""
     with CrashingMesh(directory, 12200, {"front": 4, "deep": 1}).start() as mesh:
@@ -235,6 +244,7 @@
     run_tests(
         [
             crashing_request_is_not_sent_on,
+            simultaneous_copies_are_not_tried_at_once,
             restarted_node_knows_the_crashing_request,
             crash_is_reported_while_no_other_request_arrives,
             frequent_request_survives_simultaneous_crashes,
--- a/tests/mutants/mutants.py
+++ b/tests/mutants/mutants.py
@@ -24,6 +24,13 @@
 ENTRIES = "src/routing/entry_distribution.cpp"
 
 CORE = [
+    Mutant(
+        "simultaneous-crashes-are-tried-at-every-owner",
+        "src/engine/quarantine_system.cpp",
+        "return IsTrial && !isTrialOwner(Node, Digest) ?",
+        "return false ?",
+        "unit",
+    ),
     Mutant(
         "simultaneous-crashes-set-a-request-aside-for-long",
         "src/quarantine/quarantine.cpp",
--- a/tests/unit/suspect_work_test.cpp
+++ b/tests/unit/suspect_work_test.cpp
@@ -127,6 +127,29 @@
   LONGS_EQUAL(0, Node_.Works_.size());
 }
 
+// Of 20 requests with simultaneous crashes each of two owners tries its part.
+TEST(SuspectWork, SimultaneousCrashesAreTriedAtOneOwner) {
+  Member Other = member("b");
+  Other.Service_ = "front";
+  Node_.Membership_.learn(Node_.Now_, {Other});
+  for (std::uint64_t Number = 1; Number <= 20; ++Number)
+    for (std::uint64_t Crash = 1; Crash <= 3; ++Crash)
+      crash(3 * Number + Crash, {Number});
+  Node_.Now_ += Quarantine::ShortTime;
+  std::size_t TriedHere = 0;
+  for (std::uint64_t Number = 1; Number <= 20; ++Number) {
+    admit(Number, false);
+    bool IsTried = Node_.Works_.size() > TriedHere;
+    bool HasLargerWeight =
+        rendezvousWeight(toString(digestOf(request(Number))), "a") >
+        rendezvousWeight(toString(digestOf(request(Number))), "b");
+    CHECK_EQUAL(HasLargerWeight, IsTried);
+    TriedHere = Node_.Works_.size();
+  }
+  CHECK(TriedHere > 0 && TriedHere < 20);
+  LONGS_EQUAL(1, Node_.Running_);
+}
+
 TEST(SuspectWork, QueuedRequestThatIsSetAsideDoesNotPreempt) {
   Node_.Config_.Settings_.Interface_ = InterfaceKind::Native;
   Node_.Limit_.setSlots(1);
