--- a/review/standins.py
+++ b/review/standins.py
@@ -284,7 +284,6 @@
         self.running = 0
         self.writers = set()
         self.tasks = []
-        self.acknowledged = []
 
     async def start(self, heartbeats=True):
         self.server = await asyncio.start_server(
@@ -459,9 +458,6 @@
         )
         os.kill(self.process.pid, number)
 
-    def log_text(self):
-        return (self.deployment.directory / f"{self.name}.log").read_text()
-
     async def ready(self):
         try:
             answer = await call(
