Carry heads as long as the operator allows over every hop

What callers saw: with max_header_bytes 131072, a request with a field of 70,000 bytes ended the node that received it; eight requests of other callers, running at backend servers, got no answer (LOST). Heads from 65,400 bytes, in any form, got 503 where another node had to run them.

Cause: each hop had a limit of its own besides the operator's. The field container of Boost.Beast keeps lengths in 16 bits and throws, on receipt and in requests to the backend server; HTTP/2 between nodes is limited to header lists and fields of 64 KiB.

Ruled out: a limit in front of the parser (the operator allows the request, so 431 would be DENIED); HTTP/2 fields in parts (eight CONTINUATION frames at most); catching exceptions around the engine (its state may be half changed).

Fix: both sessions parse with Beast's basic_parser into the product's own list of fields and write heads without Beast's container; a header list above 32 KiB is sent between nodes at the start of the body. Then the operator's limit is the only one.

--- a/src/shell/http1_client_session.cpp
+++ b/src/shell/http1_client_session.cpp
@@ -2,7 +2,8 @@
 
 #include "fulmarshelf/detail/base/ids.hpp" // parseNumber
 
-#include "http1_message.hpp" // copyFields, serialize
+#include "http1_message.hpp" // forwardedFields, parseInput
+#include "http1_parser.hpp"  // Http1Parser
 
 #include <optional> // optional
 
@@ -26,10 +27,16 @@
   return std::chrono::milliseconds(Seconds == 0 ? 0 : (Seconds - 1) * 1000);
 }
 
+// Methods whose requests state their length also without a body (RFC 9110
+// section 8.6).
+bool hasBodyByDefinition(std::string_view Method) {
+  return Method == "POST" || Method == "PUT" || Method == "OPTIONS";
+}
+
 } // namespace
 
 struct HttpClientSession::State {
-  using Parser = http::response_parser<http::string_body>;
+  using Parser = Http1Parser<false>;
 
   HttpLimits Limits_;
   std::optional<Parser> Parser_;
@@ -68,21 +75,19 @@
   }
 
   bool isInterim() const {
-    return Parser_->is_done() && Parser_->get().result_int() < FirstFinalStatus;
+    return Parser_->is_done() && Parser_->message().Status_ < FirstFinalStatus;
   }
 
   ClientResult finish(HttpResponse &Response) {
-    http::response<http::string_body> Message = Parser_->release();
-    Response = {};
-    Response.Status_ = static_cast<std::uint16_t>(Message.result_int());
-    Response.Headers_ = copyFields(Message.base());
-    Response.Body_ = std::move(Message.body());
+    bool KeepAlive = Parser_->keep_alive();
+    Http1Message Message = Parser_->release();
     // Bytes after a response belong to no request that this side sent, so the
     // connection is not reused.
-    Reusable_ = Message.keep_alive() && Input_.empty();
-    IdleTime_ = parseIdleTime(
-        std::string_view(Message[http::field::keep_alive].data(),
-                         Message[http::field::keep_alive].size()));
+    Reusable_ = KeepAlive && Input_.empty();
+    const std::string *IdleField = findHeader(Message.Fields_, "Keep-Alive");
+    IdleTime_ = parseIdleTime(IdleField == nullptr ? "" : *IdleField);
+    Response = {Message.Status_, forwardedFields(Message.Fields_),
+                std::move(Message.Body_)};
     Waiting_ = false;
     return ClientResult::Answered;
   }
@@ -106,18 +111,16 @@
 
 std::string HttpClientSession::send(const HttpRequest &Request,
                                     const std::string &Host) {
-  http::request<http::string_body> Message;
-  Message.version(11);
-  Message.method_string(Request.Method_);
-  Message.target(Request.Target_);
+  std::string Bytes = Request.Method_ + " " + Request.Target_ + " HTTP/1.1\r\n";
   if (findHeader(Request.Headers_, "Host") == nullptr)
-    Message.set(http::field::host, Host);
-  insertFields(Message, Request.Headers_);
-  Message.body() = Request.Body_;
-  Message.prepare_payload();
+    appendField(Bytes, "Host", Host);
+  appendFields(Bytes, Request.Headers_);
+  if (!Request.Body_.empty() || hasBodyByDefinition(Request.Method_))
+    appendField(Bytes, "Content-Length", std::to_string(Request.Body_.size()));
+  Bytes.append("\r\n").append(Request.Body_);
   State_->HeadOnly_ = Request.Method_ == "HEAD";
   State_->resetParser();
-  return serialize<true>(Message);
+  return Bytes;
 }
 
 ClientResult HttpClientSession::receive(std::string_view Bytes,
@@ -149,7 +152,8 @@
 
 std::size_t HttpClientSession::bufferedBytes() const {
   std::size_t Size = State_->Input_.size();
-  return State_->Waiting_ ? Size + State_->Parser_->get().body().size() : Size;
+  return State_->Waiting_ ? Size + State_->Parser_->message().Body_.size()
+                          : Size;
 }
 
 bool HttpClientSession::isReusable() const { return State_->Reusable_; }
--- a/src/shell/http1_message.hpp
+++ b/src/shell/http1_message.hpp
@@ -1,19 +1,15 @@
 #ifndef FULMARSHELF_SHELL_HTTP1_MESSAGE_HPP
 #define FULMARSHELF_SHELL_HTTP1_MESSAGE_HPP
 
-#include "fulmarshelf/detail/wire/http.hpp" // Header
+#include "fulmarshelf/detail/wire/http.hpp" // Header, equalsIgnoreCase
 
 #include <utility> // exchange, which Asio's coroutine headers need
 
-#include <boost/asio/buffer.hpp>              // buffer, const_buffer
-#include <boost/beast/core/buffer_traits.hpp> // buffer_bytes
-#include <boost/beast/core/buffers_range.hpp> // buffers_range_ref
-#include <boost/beast/http/message.hpp>       // request, response
-#include <boost/beast/http/parser.hpp>        // request_parser
-#include <boost/beast/http/rfc7230.hpp>       // token_list
-#include <boost/beast/http/serializer.hpp>    // serializer
-#include <boost/beast/http/string_body.hpp>   // string_body
+#include <boost/asio/buffer.hpp>        // buffer
+#include <boost/beast/http/error.hpp>   // error
+#include <boost/beast/http/rfc7230.hpp> // token_list
 
+#include <algorithm>   // any_of
 #include <cstdint>     // uint32_t
 #include <string>      // string
 #include <string_view> // string_view
@@ -39,28 +35,35 @@
   return Name.size() >= 3 && equalsIgnoreCase(Name.substr(0, 3), "fs-");
 }
 
-// The Connection field lists further fields that apply to one connection.
-template <typename Fields>
-bool isNamedByConnection(const Fields &From, const std::string &Name) {
-  return http::token_list(From[http::field::connection]).exists(Name);
+// The Connection fields list further fields that apply to one connection.
+inline bool isNamedByConnection(const std::vector<std::string_view> &Connection,
+                                const std::string &Name) {
+  return std::any_of(
+      Connection.begin(), Connection.end(), [&Name](std::string_view Value) {
+        return http::token_list({Value.data(), Value.size()}).exists(Name);
+      });
 }
 
-template <typename Fields> std::vector<Header> copyFields(const Fields &From) {
+// Returns the fields that are forwarded with a message.
+inline std::vector<Header> forwardedFields(const std::vector<Header> &Fields) {
+  std::vector<std::string_view> Connection = findHeaders(Fields, "Connection");
   std::vector<Header> Result;
-  for (const typename Fields::value_type &Field : From) {
-    std::string Name(Field.name_string().data(), Field.name_string().size());
-    if (!isNeverForwarded(Name) && !isNamedByConnection(From, Name))
-      Result.push_back(
-          {Name, std::string(Field.value().data(), Field.value().size())});
-  }
+  for (const Header &Field : Fields)
+    if (!isNeverForwarded(Field.Name_) &&
+        !isNamedByConnection(Connection, Field.Name_))
+      Result.push_back(Field);
   return Result;
 }
 
-template <typename Message>
-void insertFields(Message &To, const std::vector<Header> &Headers) {
-  for (const Header &Field : Headers)
+inline void appendField(std::string &Head, std::string_view Name,
+                        std::string_view Value) {
+  Head.append(Name).append(": ").append(Value).append("\r\n");
+}
+
+inline void appendFields(std::string &Head, const std::vector<Header> &Fields) {
+  for (const Header &Field : Fields)
     if (!isNeverForwarded(Field.Name_))
-      To.insert(Field.Name_, Field.Value_);
+      appendField(Head, Field.Name_, Field.Value_);
 }
 
 // Parses received bytes up to the end of the message and removes them from the
@@ -75,8 +78,7 @@
   std::size_t Consumed = 1;
   while (!Error && Consumed > 0 && !Input.empty() && !Target.is_done()) {
     bool HeadDone = Target.is_header_done();
-    // In one call, the parser would go on from a head that announces too long a
-    // body to the body, and reserve the announced length.
+    // One call parses the head only, so that its bytes can be counted.
     Target.eager(HeadDone);
     Target.header_limit(HeadBytesLeft);
     // The parser takes a chunk header or trailers only when they are complete
@@ -96,20 +98,6 @@
   return Error;
 }
 
-template <bool IsRequest, typename Message>
-std::string serialize(Message &Content) {
-  std::string Bytes;
-  http::serializer<IsRequest, http::string_body> Writer(Content);
-  error_code Error;
-  while (!Error && !Writer.is_done())
-    Writer.next(Error, [&](error_code &, const auto &Buffers) {
-      for (asio::const_buffer Part : boost::beast::buffers_range_ref(Buffers))
-        Bytes.append(static_cast<const char *>(Part.data()), Part.size());
-      Writer.consume(boost::beast::buffer_bytes(Buffers));
-    });
-  return Bytes;
-}
-
 } // namespace fulmarshelf
 
 #endif
--- a/src/shell/http1_server_session.cpp
+++ b/src/shell/http1_server_session.cpp
@@ -2,9 +2,10 @@
 
 #include "fulmarshelf/detail/engine/answers.hpp" // notRun, toResponse
 
-#include "http1_message.hpp" // copyFields, serialize
+#include "http1_message.hpp" // forwardedFields, parseInput
+#include "http1_parser.hpp"  // Http1Parser
 
-#include <boost/beast/core/string.hpp> // iequals
+#include <boost/beast/http/status.hpp> // obsolete_reason
 
 #include <deque>    // deque
 #include <optional> // optional
@@ -15,16 +16,20 @@
 
 std::string serializeResponse(const HttpResponse &Response, bool KeepAlive,
                               bool HeadOnly) {
-  http::response<http::string_body> Message;
-  Message.version(11);
-  Message.result(Response.Status_);
-  insertFields(Message, Response.Headers_);
-  Message.body() = HeadOnly ? std::string() : Response.Body_;
-  Message.keep_alive(KeepAlive);
+  boost::beast::string_view Reason =
+      http::obsolete_reason(http::int_to_status(Response.Status_));
+  std::string Bytes = "HTTP/1.1 " + std::to_string(Response.Status_) + " ";
+  Bytes.append(Reason.data(), Reason.size()).append("\r\n");
+  appendFields(Bytes, Response.Headers_);
+  if (!KeepAlive)
+    appendField(Bytes, "Connection", "close");
   bool Bodiless = Response.Status_ == 204 || Response.Status_ == 304;
   if (!Bodiless)
-    Message.content_length(Response.Body_.size());
-  return serialize<false>(Message);
+    appendField(Bytes, "Content-Length", std::to_string(Response.Body_.size()));
+  Bytes += "\r\n";
+  if (!HeadOnly && !Bodiless)
+    Bytes += Response.Body_;
+  return Bytes;
 }
 
 ErrorCode toErrorCode(const error_code &Error) {
@@ -47,15 +52,14 @@
 }
 
 // Accepts bodies with a length or in chunks, and no other transfer coding.
-template <typename Message> bool hasUnambiguousFraming(const Message &Parsed) {
-  std::size_t Codings = Parsed.count(http::field::transfer_encoding);
-  std::size_t Lengths = Parsed.count(http::field::content_length);
-  if (Codings == 0)
+bool hasUnambiguousFraming(const Http1Message &Parsed) {
+  std::vector<std::string_view> Codings =
+      findHeaders(Parsed.Fields_, "Transfer-Encoding");
+  std::size_t Lengths = findHeaders(Parsed.Fields_, "Content-Length").size();
+  if (Codings.empty())
     return Lengths <= 1;
-  return Codings == 1 && Lengths == 0 &&
-         boost::beast::iequals(Parsed[http::field::transfer_encoding],
-                               "chunked") &&
-         Parsed.version() == 11;
+  return Codings.size() == 1 && Lengths == 0 &&
+         equalsIgnoreCase(Codings.front(), "chunked") && Parsed.Version_ == 11;
 }
 
 using SessionTime = HttpServerSession::Time;
@@ -83,7 +87,7 @@
 } // namespace
 
 struct HttpServerSession::State {
-  using Parser = http::request_parser<http::string_body>;
+  using Parser = Http1Parser<true>;
 
   HttpLimits Limits_;
   PipelineLimits Pipeline_;
@@ -159,21 +163,20 @@
   void parse() {
     if (!mayParse() || !feedParser() || !Parser_->is_done())
       return;
-    http::request<http::string_body> Message = Parser_->release();
+    bool KeepAlive = Parser_->keep_alive();
+    Http1Message Message = Parser_->release();
     resetParser();
     if (!hasUnambiguousFraming(Message)) {
       refuse(ErrorCode::BadRequest);
       return;
     }
     Parsed_.emplace();
-    HttpRequest &Request = Parsed_->Request_;
-    Request.Method_ = std::string(Message.method_string());
-    Request.Target_ = std::string(Message.target());
-    Request.Headers_ = copyFields(Message.base());
-    Request.Body_ = std::move(Message.body());
+    Parsed_->HeadOnly_ = Message.Method_ == "HEAD";
+    Parsed_->KeepAlive_ = KeepAlive;
     Parsed_->ReceivedAt_ = receiptOf(ReceivedBytes_ - Input_.size());
-    Parsed_->KeepAlive_ = Message.keep_alive();
-    Parsed_->HeadOnly_ = Message.method() == http::verb::head;
+    Parsed_->Request_ = {std::move(Message.Method_), std::move(Message.Target_),
+                         forwardedFields(Message.Fields_),
+                         std::move(Message.Body_)};
   }
 
   // Moves the responses that wait for no earlier one to the output.
@@ -291,7 +294,7 @@
   std::size_t Size = State_->Input_.size();
   if (State_->Parsed_)
     Size += State_->Parsed_->Request_.Body_.size();
-  return Size + State_->Parser_->get().body().size();
+  return Size + State_->Parser_->message().Body_.size();
 }
 
 void HttpServerSession::setLimits(const HttpLimits &Limits) {
--- a/src/shell/peer_session.cpp
+++ b/src/shell/peer_session.cpp
@@ -1,10 +1,13 @@
 #include "fulmarshelf/detail/shell/peer_session.hpp"
 
+#include "fulmarshelf/detail/shell/peer_head.hpp" // packHead, unpackHead
+
 #include <nghttp2/nghttp2.h> // nghttp2_session
 
 #include <algorithm>     // copy_n, min
+#include <optional>      // optional
 #include <unordered_map> // unordered_map
-#include <utility>       // exchange
+#include <utility>       // exchange, move
 
 namespace fulmarshelf {
 
@@ -14,6 +17,8 @@
 constexpr std::uint32_t StreamWindowBytes = 2 * 1024 * 1024;
 constexpr std::int32_t ConnectionWindowBytes = 16 * 1024 * 1024;
 constexpr std::uint32_t MaxHeaderListBytes = 64 * 1024;
+constexpr std::size_t MaxStreamBytes =
+    PeerSession::MaxMessageBytes + MaxPackedHeadBytes;
 
 struct Stream {
   PeerMessage Incoming_;
@@ -87,7 +92,7 @@
   if (StreamEntry == stateOf(User).Streams_.end())
     return 0;
   std::string &Body = StreamEntry->second.Incoming_.Body_;
-  if (Body.size() + Length > PeerSession::MaxMessageBytes) {
+  if (Body.size() + Length > MaxStreamBytes) {
     nghttp2_submit_rst_stream(Session, NGHTTP2_FLAG_NONE, Id,
                               NGHTTP2_ENHANCE_YOUR_CALM);
     return 0;
@@ -96,7 +101,7 @@
   return 0;
 }
 
-int onFrame(nghttp2_session *, const nghttp2_frame *Frame, void *User) {
+int onFrame(nghttp2_session *Session, const nghttp2_frame *Frame, void *User) {
   bool CarriesMessage =
       Frame->hd.type == NGHTTP2_HEADERS || Frame->hd.type == NGHTTP2_DATA;
   if (!CarriesMessage || (Frame->hd.flags & NGHTTP2_FLAG_END_STREAM) == 0)
@@ -105,9 +110,16 @@
   auto StreamEntry = State.Streams_.find(Frame->hd.stream_id);
   if (StreamEntry == State.Streams_.end())
     return 0;
+  std::optional<PeerMessage> Whole =
+      unpackHead(std::exchange(StreamEntry->second.Incoming_, {}));
+  if (!Whole || Whole->Body_.size() > PeerSession::MaxMessageBytes) {
+    nghttp2_submit_rst_stream(Session, NGHTTP2_FLAG_NONE, Frame->hd.stream_id,
+                              NGHTTP2_ENHANCE_YOUR_CALM);
+    return 0;
+  }
   StreamEntry->second.Received_ = true;
-  State.Events_.emplace_back(PeerReceived{
-      Frame->hd.stream_id, std::exchange(StreamEntry->second.Incoming_, {})});
+  State.Events_.emplace_back(
+      PeerReceived{Frame->hd.stream_id, std::move(*Whole)});
   return 0;
 }
 
@@ -193,14 +205,15 @@
 }
 
 std::int32_t PeerSession::request(const PeerMessage &Message) {
-  std::vector<nghttp2_nv> Fields = toFields(Message.Headers_);
+  PeerMessage Sent = packRequest(Message);
+  std::vector<nghttp2_nv> Fields = toFields(Sent.Headers_);
   nghttp2_data_provider Provider{{}, &readBody};
-  bool HasBody = !Message.Body_.empty();
+  bool HasBody = !Sent.Body_.empty();
   std::int32_t Id = nghttp2_submit_request(
       State_->Session_.get(), nullptr, Fields.data(), Fields.size(),
       HasBody ? &Provider : nullptr, nullptr);
   if (Id > 0)
-    State_->Streams_[Id].Outgoing_ = Message.Body_;
+    State_->Streams_[Id].Outgoing_ = std::move(Sent.Body_);
   return Id;
 }
 
@@ -208,10 +221,11 @@
   auto StreamEntry = State_->Streams_.find(Id);
   if (StreamEntry == State_->Streams_.end())
     return;
-  StreamEntry->second.Outgoing_ = Message.Body_;
-  std::vector<nghttp2_nv> Fields = toFields(Message.Headers_);
+  PeerMessage Sent = packResponse(Message);
+  std::vector<nghttp2_nv> Fields = toFields(Sent.Headers_);
   nghttp2_data_provider Provider{{}, &readBody};
-  bool HasBody = !Message.Body_.empty();
+  bool HasBody = !Sent.Body_.empty();
+  StreamEntry->second.Outgoing_ = std::move(Sent.Body_);
   nghttp2_submit_response(State_->Session_.get(), Id, Fields.data(),
                           Fields.size(), HasBody ? &Provider : nullptr);
 }
--- a/tests/fuzz/http_decoders.cpp
+++ b/tests/fuzz/http_decoders.cpp
@@ -224,7 +224,15 @@
   std::string Requests = Client.takeOutput();
   Server.receive(Requests);
   Server.respond(Stream, toPeer(exampleReply()));
-  return {Requests, Server.takeOutput()};
+  // A header list at the start of a body, which longer ones are sent as.
+  PeerSession Packing(PeerRole::Client);
+  Packing.request({{{":method", "POST"},
+                    {":scheme", "http"},
+                    {":authority", "fulmarshelf"},
+                    {":path", "/"},
+                    {"fs-packed-head", "31"}},
+                   "7 5\nfs-kindhello1 0\na5 1\nx-ownvbody"});
+  return {Requests, Server.takeOutput(), Packing.takeOutput()};
 }
 
 void decodePeerMessage(const std::string &Bytes) {
--- a/tests/mutants/mutants.py
+++ b/tests/mutants/mutants.py
@@ -24,6 +24,13 @@
 ENTRIES = "src/routing/entry_distribution.cpp"
 
 CORE = [
+    Mutant(
+        "long-head-is-sent-as-fields",
+        "src/shell/peer_head.cpp",
+        "return Bytes <= MaxPlainHeadBytes;",
+        "return true;",
+        "unit",
+    ),
     Mutant(
         "nesting-of-a-datagram-is-unbounded",
         "src/membership/gossip_codec.cpp",
--- a/tools/instance_standin.cpp
+++ b/tools/instance_standin.cpp
@@ -25,6 +25,8 @@
 using Json = nlohmann::json;
 
 constexpr std::size_t MaxConnections = 4096;
+// Above the limits of the nodes, which are what the tests try.
+constexpr HttpLimits Limits{4 * 1024 * 1024, 1024 * 1024};
 constexpr std::chrono::milliseconds HeartbeatInterval{500};
 constexpr std::chrono::milliseconds TimeToCrash{10};
 constexpr int CrashExitCode = 70;
@@ -77,7 +79,7 @@
   InstanceServer(boost::asio::io_context &Context, Shape Config)
       : Context_(Context), Shape_(std::move(Config)), Order_{nowMs(), 0},
         Timer_(Context),
-        Http_(Context, Shape_.Address_, 0, MaxConnections, HttpLimits(),
+        Http_(Context, Shape_.Address_, 0, MaxConnections, Limits,
               {[this](CallerKey Caller, const HttpRequest &Request) {
                  receive(Caller, Request);
                },
--- a/tools/route_mesh.py
+++ b/tools/route_mesh.py
@@ -75,12 +75,13 @@
             ]
         )
 
-    def write_routes(self, routes, timeout_ms=3000, max_body=65536):
+    def write_routes(self, routes, timeout_ms=3000, max_body=65536, max_header=16384):
         """Writes the next version of the route table; returns its number."""
         self.version += 1
+        services = ["front", "deep"]
         self.write_spec(
             config_document(
-                self.version, HOST, routes, ["front", "deep"], timeout_ms, max_body
+                self.version, HOST, routes, services, timeout_ms, max_body, max_header
             )
         )
         return self.version
