Cap the operator's limit on heads at the largest head that a node takes

What callers saw: with max_header_bytes above 1 MiB the node used its default limits, 16 KiB for heads, in place of all limits of the operator, so requests within them got 431.

Cause: a limit out of range made the whole group of limits unreadable.

Evidence: LimitOnHeadsIsCappedAtTheLargestHead failed before the change.

--- a/include/fulmarshelf/detail/settings/route_table.hpp
+++ b/include/fulmarshelf/detail/settings/route_table.hpp
@@ -42,6 +42,9 @@
   friend bool operator==(const ServiceEntry &, const ServiceEntry &) = default;
 };
 
+/// @brief Largest limit on the head of a request, in bytes.
+inline constexpr std::uint32_t MaxCallerHeadBytes = 1024 * 1024;
+
 /// @brief Size and time limits for requests from callers.
 struct CallerLimits {
   std::uint32_t HeaderBytes_ = 16 * 1024;
--- a/src/settings/route_table.cpp
+++ b/src/settings/route_table.cpp
@@ -16,7 +16,6 @@
 constexpr std::uint64_t MaxTimeoutMs = 3'600'000; // one hour
 constexpr std::uint64_t MaxWeight = 1'000'000;
 constexpr std::uint64_t MaxConnections = 1'000'000;
-constexpr std::uint64_t MaxHeaderBytes = std::uint64_t{1024} * 1024;
 constexpr std::uint64_t MaxBodyBytes = std::uint64_t{1} << 40;
 // Size of the largest object in the store. The INI text of a table is about as
 // long as the object from which the table was read.
@@ -89,9 +88,9 @@
 
 CallerLimits readLimits(KeyReader &Keys) {
   CallerLimits Result;
-  Result.HeaderBytes_ =
-      static_cast<std::uint32_t>(Keys.number("header-bytes", 1, MaxHeaderBytes)
-                                     .value_or(Result.HeaderBytes_));
+  Result.HeaderBytes_ = static_cast<std::uint32_t>(
+      Keys.number("header-bytes", 1, MaxCallerHeadBytes)
+          .value_or(Result.HeaderBytes_));
   Result.BodyBytes_ =
       Keys.number("body-bytes", 0, MaxBodyBytes).value_or(Result.BodyBytes_);
   Result.HeaderTimeout_ = Keys.duration("header-timeout-ms", 1, MaxTimeoutMs)
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -80,6 +80,18 @@
   CHECK(Table.value().Limits_.BodyBytes_ == 1000);
 }
 
+// A limit on heads above the largest one that a node takes made the defaults
+// replace all limits of the operator.
+TEST(Platform, LimitOnHeadsIsCappedAtTheLargestHead) {
+  for (const char *Limit : {"1048577", "4294967295"}) {
+    ReadableConfig Read = readable(replaced(Config, "16384", Limit));
+    Checked<RouteTable> Table = parseRouteTable("routes", Read.Version_.Text_);
+    CHECK(Table.has_value());
+    CHECK(Table.value().Limits_.HeaderBytes_ == MaxCallerHeadBytes);
+    CHECK(Table.value().Limits_.BodyBytes_ == 1000);
+  }
+}
+
 TEST(Platform, UnreadableConfigurationReportsTheReason) {
   for (const char *Old : {"\"0000001f\"", "\"rows\"", "\"services\":"}) {
     std::variant<ReadableConfig, UnreadableConfig> Read =
