Follow the store by evidence of its answers, not by liveness

Cause: the two live members of each failure domain with the greatest hash were the only readers, whether or not they reached the store.

Ruled out: slow spread between nodes (the watchers had not got the version either); the back-off of refused watchers (1.5 s at most).

Fix: each answer of the store to a follower is reported to all nodes; a node that knows of no answer for 0.9 s takes over, in an order by hash whose steps double. Followers watch in turn. A node waits for its neighbours' settings only where one of them follows the store.

OddEntries.MessagesOfPeersAreRejected sets the new last field of a datagram, so that the field it adds is an unknown one as before, and checks odd ages.

--- a/include/fulmarshelf/detail/base/event_log.hpp
+++ b/include/fulmarshelf/detail/base/event_log.hpp
@@ -69,6 +69,8 @@
   StoreBack = 1708,
   StoreRestored = 1709,
   SettingsKept = 1710,
+  StoreFollowingStarted = 1711,
+  StoreFollowingStopped = 1712,
   NodeStarted = 1801,
   NodeServing = 1802,
   NodeLeaving = 1803,
--- a/include/fulmarshelf/detail/engine/actions.hpp
+++ b/include/fulmarshelf/detail/engine/actions.hpp
@@ -122,6 +122,7 @@
   Collection Collection_ = Collection::Teams;
   std::uint64_t Since_ = 0;
   std::optional<std::uint64_t> Era_; ///< era known at sending
+  Micros Wait_{0};                   ///< the watch ends without a change
 };
 
 /// @brief Write this node's peer address to the platform.
--- a/include/fulmarshelf/detail/engine/node_state.hpp
+++ b/include/fulmarshelf/detail/engine/node_state.hpp
@@ -10,6 +10,7 @@
 #include "fulmarshelf/detail/admission/work_limit.hpp"         // WorkLimit
 #include "fulmarshelf/detail/admission/work_queue.hpp"         // WorkQueue
 #include "fulmarshelf/detail/engine/actions.hpp"               // Action
+#include "fulmarshelf/detail/engine/store_followers.hpp"       // StoreFollowers
 #include "fulmarshelf/detail/engine/tables.hpp"                // Request, Work
 #include "fulmarshelf/detail/membership/membership.hpp"        // Membership
 #include "fulmarshelf/detail/quarantine/crash_detector.hpp"    // CrashDetector
@@ -78,6 +79,11 @@
   bool NodesListPending_ = false;
   TimePoint NextStoreCallAt_; ///< next store call about addresses
   Micros StoreBackoff_{0};
+  StoreFollowers Followers_;
+  bool Substitute_ = false; ///< follows the store though it is not elected
+  TimePoint SubstituteSince_;
+  TimePoint NextTakeOverAt_;    ///< after the store has not answered
+  TimePoint NextFollowerCheck_; ///< due time of the check of the followers
   std::vector<Endpoint> Seeds_; ///< from the node's settings
   std::size_t NextSeed_ = 0;
   std::vector<NodeSeed> UnknownNodes_; ///< listed nodes that no member reported
--- a/include/fulmarshelf/detail/engine/systems.hpp
+++ b/include/fulmarshelf/detail/engine/systems.hpp
@@ -210,10 +210,34 @@
 void onWatched(NodeState &Node, const StoreWatched &Input);
 void onFailed(NodeState &Node, const StoreFailed &Input);
 void onUnreadable(NodeState &Node, const StoreUnreadable &Input);
-/// @brief True when this node is one of the nodes that watch the platform.
-bool isWatcher(const NodeState &Node);
 } // namespace store_system
 
+/// @brief Decides which nodes follow the settings in the store.
+///
+/// Two elected nodes of each failure domain always do. Each answer of the store
+/// to a follower is reported to all nodes. Where no answer becomes known for
+/// some time, other nodes take over in an order by hash, of which each step
+/// doubles their number.
+namespace follow_system {
+/// @brief Collection of the settings that must come into force in time.
+Collection settingsCollection(const NodeState &Node);
+/// @brief True when this node is one of the two elected in its failure domain.
+bool isElected(const NodeState &Node);
+/// @brief True when this node lists and watches the settings in the store.
+bool follows(const NodeState &Node);
+/// @brief True when another node of this failure domain follows the store.
+bool isFollowedInLocalDomain(const NodeState &Node);
+/// @brief Time for which the next watch waits for a change.
+Micros watchTime(const NodeState &Node);
+/// @brief Reports an answer of the store to this node.
+void onAnswered(NodeState &Node, Collection Answered);
+/// @brief Notes and passes on an answer of the store to another node.
+void onEvidence(NodeState &Node, const GossipMessage &Message);
+/// @brief Handles a call for settings that the store did not answer.
+void onFailed(NodeState &Node, Collection Failed);
+void check(NodeState &Node);
+} // namespace follow_system
+
 /// @brief Applies settings and exchanges them with peers.
 namespace settings_system {
 void start(NodeState &Node);
--- a/include/fulmarshelf/detail/engine/tables.hpp
+++ b/include/fulmarshelf/detail/engine/tables.hpp
@@ -174,6 +174,7 @@
   LeaveCheck,
   QuarantineSpread,
   CrashProbe,
+  StoreFollowing,
 };
 
 /// @brief A scheduled run of a system; timers of entities that no longer exist
--- a/include/fulmarshelf/detail/membership/gossip_message.hpp
+++ b/include/fulmarshelf/detail/membership/gossip_message.hpp
@@ -1,6 +1,7 @@
 #ifndef FULMARSHELF_DETAIL_MEMBERSHIP_GOSSIP_MESSAGE_HPP
 #define FULMARSHELF_DETAIL_MEMBERSHIP_GOSSIP_MESSAGE_HPP
 
+#include "fulmarshelf/detail/base/time.hpp"               // Micros
 #include "fulmarshelf/detail/membership/member.hpp"       // Member
 #include "fulmarshelf/detail/quarantine/crash_report.hpp" // CrashReport
 #include "fulmarshelf/detail/settings/registry.hpp"       // SubtreeVersion
@@ -18,6 +19,7 @@
   PingRequest,    ///< requests a Ping of Target_ on behalf of the sender
   SettingsUpdate, ///< announces a settings version; expects no answer
   Quarantine,     ///< news about crashing requests; expects no answer
+  StoreEvidence,  ///< an answer of the store; expects no answer
 };
 
 /// @brief Version of a settings subtree, without its text.
@@ -28,6 +30,16 @@
                          const SettingsVersion &) = default;
 };
 
+/// @brief An answer of the store to a node that follows it.
+struct StoreEvidence {
+  std::string Node_;     ///< node that the store answered; empty: no evidence
+  bool Elected_ = false; ///< whether it is a watcher of its failure domain
+  Micros Age_{0};        ///< time since the answer
+  std::string Root_;     ///< node from which it spreads in the failure domain
+  friend bool operator==(const StoreEvidence &,
+                         const StoreEvidence &) = default;
+};
+
 /// @brief One datagram.
 struct GossipMessage {
   GossipKind Kind_ = GossipKind::Ping;
@@ -41,6 +53,7 @@
   std::vector<SettingsVersion> SettingsUpdates_;
   QuarantineNews Quarantine_;
   std::uint64_t StoreEra_ = 0; ///< era of the store; 0: not known
+  StoreEvidence Evidence_;
   friend bool operator==(const GossipMessage &,
                          const GossipMessage &) = default;
 };
--- a/include/fulmarshelf/detail/membership/membership.hpp
+++ b/include/fulmarshelf/detail/membership/membership.hpp
@@ -55,7 +55,13 @@
   /// @brief Sends news about crashing requests to some members immediately.
   void broadcastNews(const QuarantineNews &News);
 
+  /// @brief Sends evidence of an answer of the store to a member.
+  void sendEvidence(const Endpoint &To, const StoreEvidence &Evidence);
+
   /// @brief Other members that can receive requests: alive or suspected.
+  /// @return pointers that are valid until the table changes
+  std::vector<const Member *> availableMembers() const;
+  /// @brief Copies of availableMembers().
   std::vector<Member> available() const;
   /// @brief All other known members, including dead and leaving ones until they
   /// are removed.
--- a/include/fulmarshelf/detail/shell/store_client.hpp
+++ b/include/fulmarshelf/detail/shell/store_client.hpp
@@ -30,7 +30,7 @@
 
   /// @param Known era known to the core; passed on with the result
   void list(Collection Kind, Era Known);
-  void watch(Collection Kind, std::uint64_t Since, Era Known);
+  void watch(Collection Kind, std::uint64_t Since, Era Known, Micros Wait);
   void listNodes(Era Known);
   /// @brief Writes this node's addresses: creates its object, or replaces an
   /// existing one.
--- a/src/base/event_log.cpp
+++ b/src/base/event_log.cpp
@@ -11,7 +11,7 @@
   std::string_view Name_;
 };
 
-constexpr std::array<NamedEvent, 65> EventNames = {{
+constexpr std::array<NamedEvent, 67> EventNames = {{
     {EventNumber::RequestReceived, "request-received"},
     {EventNumber::RequestAnswered, "request-answered"},
     {EventNumber::RequestRefused, "request-refused"},
@@ -70,6 +70,8 @@
     {EventNumber::StoreBack, "store-back"},
     {EventNumber::StoreRestored, "store-restored"},
     {EventNumber::SettingsKept, "settings-kept"},
+    {EventNumber::StoreFollowingStarted, "store-following-started"},
+    {EventNumber::StoreFollowingStopped, "store-following-stopped"},
     {EventNumber::NodeStarted, "node-started"},
     {EventNumber::NodeServing, "node-serving"},
     {EventNumber::NodeLeaving, "node-leaving"},
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -107,6 +107,7 @@
   State_.Now_ = Now;
   settings_system::start(State_);
   membership_system::tick(State_);
+  follow_system::check(State_);
   setTimer(State_, TicketExpiryInterval, TimerKind::TicketExpiry);
   membership_system::flush(State_);
 }
@@ -167,6 +168,8 @@
     return;
   case TimerKind::CrashProbe:
     return backend_system::probe(State_);
+  case TimerKind::StoreFollowing:
+    return follow_system::check(State_);
   case TimerKind::QuarantineSpread:
     State_.QuarantineSpread_.TimerSet_ = false;
     return quarantine_system::spread(State_);
--- a/src/engine/membership_system.cpp
+++ b/src/engine/membership_system.cpp
@@ -42,6 +42,7 @@
     return;
   Node.Membership_.receive(Node.Now_, Input.From_, Message);
   settings_system::onSettingsUpdate(Node, Message);
+  follow_system::onEvidence(Node, Message);
   if (!Message.Quarantine_.empty())
     quarantine_system::onNews(Node, Message.Quarantine_);
 }
--- a/src/engine/settings_system.cpp
+++ b/src/engine/settings_system.cpp
@@ -8,10 +8,10 @@
 
 constexpr Micros TickInterval = millis(500);
 // With a route table a change must be in force on every node within two
-// seconds. An update that no node of the local failure domain provides within a
-// quarter of that time is fetched from a node of another domain.
+// seconds. An update that no node of the local failure domain provides within
+// the delay is fetched from a node of another domain.
 constexpr Micros RouteTableTickInterval = millis(250);
-constexpr Micros RemoteFetchDelay = millis(500);
+constexpr Micros RemoteFetchDelay = millis(250);
 constexpr Micros DigestSyncInterval = millis(1000);
 constexpr Micros MembersSyncInterval = millis(30'000);
 constexpr std::size_t MaxSyncedEvidence = 64;
@@ -116,6 +116,7 @@
   if (Node.Phase_ != NodePhase::Starting || !Ready)
     return;
   Node.Phase_ = NodePhase::Serving;
+  Node.Sync_.Followers_.onOtherAnswer(Node.Now_);
   log(Node, EventNumber::NodeServing, {{"settings", Source}});
   // The backend server may have announced itself before the settings arrived.
   if (Node.Backend_.Announced_)
@@ -212,12 +213,9 @@
   if (!hasRouteTable(Node) || Node.Phase_ != NodePhase::Serving)
     return false;
   CollectionSync &Routes = Node.Sync_.Collections_[Collection::Routes];
-  if (store_system::isWatcher(Node))
+  if (follow_system::follows(Node))
     return Routes.WatchPending_;
-  for (const Member &Other : Node.Membership_.available())
-    if (isInLocalDomain(Node, Other))
-      return true;
-  return false;
+  return follow_system::isFollowedInLocalDomain(Node);
 }
 
 } // namespace
--- a/src/engine/status.cpp
+++ b/src/engine/status.cpp
@@ -136,7 +136,7 @@
                    {"phase", std::string(phaseName(Node.Phase_))},
                    {"failure_domain", Node.Config_.Settings_.FailureDomain_},
                    {"region", Node.Config_.Settings_.Region_},
-                   {"watches_platform", store_system::isWatcher(Node)},
+                   {"watches_platform", follow_system::follows(Node)},
                    {"store", storeOf(Node)},
                    {"settings", settingsOf(Node)},
                    {"backend", backendOf(Node)},
--- a/src/engine/store_system.cpp
+++ b/src/engine/store_system.cpp
@@ -15,7 +15,9 @@
 // Without a readable table a node that does not watch lists again after this
 // time; an update by gossip reaches it sooner.
 constexpr Micros TableRecheckInterval = millis(1000);
-constexpr std::size_t WatchersPerDomain = 2;
+// A change of team settings is also followed on its own where routes are
+// followed, without a bound on its delay.
+constexpr Micros OtherWatchTime = millis(25'000);
 constexpr unsigned EarlyNodeListCount = 3;
 constexpr Micros EarlyNodeListInterval = millis(2000);
 constexpr Micros NodeListInterval = millis(60'000);
@@ -72,7 +74,8 @@
     Sync.AnnouncePending_ = true;
     emit(Node, StoreAnnounce{Sync.Era_});
   }
-  bool NeedsList = Sync.NodeListCount_ < EarlyNodeListCount || isWatcher(Node);
+  bool NeedsList =
+      Sync.NodeListCount_ < EarlyNodeListCount || follow_system::follows(Node);
   if (!Sync.Announced_ || Sync.NodesListPending_ || !NeedsList ||
       Node.Now_ < Sync.NextNodeListAt_)
     return;
@@ -82,9 +85,14 @@
 
 void followCollection(NodeState &Node, Collection Kind) {
   CollectionSync &Sync = Node.Sync_.Collections_[Kind];
-  if (Node.Now_ < Sync.NextCallAt_)
+  // A substitute makes only the call that shows whether the store answers it.
+  bool Proved =
+      Node.Sync_.Collections_[follow_system::settingsCollection(Node)].Listed_;
+  bool MustProve = Node.Sync_.Substitute_ && !Proved &&
+                   Kind != follow_system::settingsCollection(Node);
+  if (Node.Now_ < Sync.NextCallAt_ || MustProve)
     return;
-  bool Watcher = isWatcher(Node);
+  bool Watcher = follow_system::follows(Node);
   bool TableMissing =
       Kind == Collection::Routes && Node.Settings_.routes() == nullptr;
   bool NeedsList =
@@ -98,7 +106,10 @@
     log(Node, EventNumber::WatchStarted,
         {{"of", std::string(collectionName(Kind))},
          {"revision", std::to_string(Sync.Revision_)}});
-    emit(Node, StoreWatch{Kind, Sync.Revision_, Node.Sync_.Era_});
+    Micros Wait = Kind == follow_system::settingsCollection(Node)
+                      ? follow_system::watchTime(Node)
+                      : OtherWatchTime;
+    emit(Node, StoreWatch{Kind, Sync.Revision_, Node.Sync_.Era_, Wait});
   }
   if (!Watcher && Sync.Listed_ && !Sync.WatchPending_)
     Sync.Listed_ = false; // the listed state becomes stale without a watch
@@ -134,21 +145,6 @@
 
 } // namespace
 
-// Two nodes of each failure domain watch the platform. Rendezvous hashing over
-// the members that are alive selects them, so that the standing load on the
-// platform does not grow with the mesh.
-bool isWatcher(const NodeState &Node) {
-  const std::string &Domain = Node.Config_.Settings_.FailureDomain_;
-  std::uint64_t LocalWeight = rendezvousWeight(Domain, localNodeName(Node));
-  std::size_t Heavier = 0;
-  for (const Member &Candidate : Node.Membership_.available())
-    if (Candidate.FailureDomain_ == Domain &&
-        Candidate.Status_ == MemberStatus::Alive &&
-        rendezvousWeight(Domain, Candidate.Node_) > LocalWeight)
-      ++Heavier;
-  return Heavier < WatchersPerDomain && Node.Phase_ != NodePhase::Leaving;
-}
-
 void call(NodeState &Node) {
   followCollection(Node, Collection::Teams);
   if (hasRouteTable(Node))
@@ -165,6 +161,7 @@
   onStoreReachable(Node, Sync.Backoff_);
   Sync.Revision_ = Input.Revision_;
   noteStoredPaths(Node, Input.Collection_, Input.Subtrees_);
+  follow_system::onAnswered(Node, Input.Collection_);
   std::vector<SubtreeVersion> Offered = Input.Subtrees_;
   if (Input.Collection_ == Collection::Teams)
     addDeletions(Node, Input, Offered);
@@ -173,7 +170,7 @@
     settings_system::beginServing(Node, "store");
   bool TableMissing = Input.Collection_ == Collection::Routes &&
                       Node.Settings_.routes() == nullptr;
-  if (TableMissing && !isWatcher(Node))
+  if (TableMissing && !follow_system::follows(Node))
     Sync.NextCallAt_ = Node.Now_ + TableRecheckInterval;
   call(Node);
 }
@@ -213,8 +210,9 @@
   onStoreReachable(Node, Sync.Backoff_);
   Sync.Revision_ = Input.Revision_;
   noteStoredPaths(Node, Input.Collection_, Input.Changes_);
+  follow_system::onAnswered(Node, Input.Collection_);
   settings_system::applyAll(Node, Input.Changes_, "watch");
-  if (!isWatcher(Node))
+  if (!follow_system::follows(Node))
     log(Node, EventNumber::WatchStopped,
         {{"of", std::string(collectionName(Input.Collection_))},
          {"revision", std::to_string(Sync.Revision_)}});
@@ -247,6 +245,7 @@
       // The collection is listed again, since changes may have been missed.
       Progress.WatchPending_ = Progress.Listed_ = false;
     RetryAt = Progress.NextCallAt_ = backOff(Node, Progress.Backoff_);
+    follow_system::onFailed(Node, Input.Collection_);
   } else {
     if (Input.Call_ == StoreCall::Announce)
       Sync.AnnouncePending_ = false;
--- a/src/membership/gossip_codec.cpp
+++ b/src/membership/gossip_codec.cpp
@@ -2,8 +2,9 @@
 
 #include "fulmarshelf/detail/wire/json_reader.hpp" // readUnsigned
 
-#include <optional> // optional
-#include <vector>   // vector
+#include <algorithm> // min
+#include <optional>  // optional
+#include <vector>    // vector
 
 namespace fulmarshelf {
 
@@ -14,7 +15,10 @@
 // Nodes of earlier versions send fewer fields.
 constexpr std::size_t QuarantineField = 9;
 constexpr std::size_t StoreEraField = 11;
+constexpr std::size_t StoreEvidenceField = 12;
 constexpr std::size_t EvidenceField = 3;
+// A node that has waited for longer than a minute has asked the store itself.
+constexpr Micros MaxEvidenceAge = millis(60'000);
 
 // Arrays instead of objects keep the field names out of the datagrams.
 Json toJson(const Endpoint &Address) {
@@ -37,6 +41,11 @@
       {Subtree.Path_, Subtree.Version_, Subtree.Deleted_, Subtree.Text_});
 }
 
+Json toJson(const StoreEvidence &Evidence) {
+  return Json::array({Evidence.Node_, Evidence.Elected_, Evidence.Age_.count(),
+                      Evidence.Root_});
+}
+
 Json toJson(const RequestDigest &Digest) {
   return Json::array({Digest.High_, Digest.Low_});
 }
@@ -89,6 +98,16 @@
   Source.at(3).get_to(Decoded.Text_);
 }
 
+void fromJson(const Json &Source, StoreEvidence &Decoded) {
+  Source.at(0).get_to(Decoded.Node_);
+  Source.at(1).get_to(Decoded.Elected_);
+  std::uint64_t Age = 0;
+  readUnsigned(Source.at(2), Age);
+  Decoded.Age_ = Micros(static_cast<Micros::rep>(
+      std::min(Age, static_cast<std::uint64_t>(MaxEvidenceAge.count()))));
+  Source.at(3).get_to(Decoded.Root_);
+}
+
 template <typename T>
 void listFromJson(const Json &Source, std::vector<T> &Decoded) {
   for (const Json &Element : Source) {
@@ -222,12 +241,16 @@
        Message.Target_, toJson(Message.TargetPeer_), Message.SettingsDigest_,
        Message.MembersDigest_, listToJson(Message.Members_),
        listToJson(Message.SettingsUpdates_)});
-  if (!Message.Quarantine_.empty() || Message.StoreEra_ != 0) {
+  bool HasEvidence = !Message.Evidence_.Node_.empty();
+  bool HasEra = Message.StoreEra_ != 0 || HasEvidence;
+  if (!Message.Quarantine_.empty() || HasEra) {
     Fields.push_back(listToJson(Message.Quarantine_.Crashes_));
     Fields.push_back(listToJson(Message.Quarantine_.Cleared_));
   }
-  if (Message.StoreEra_ != 0)
+  if (HasEra)
     Fields.push_back(Message.StoreEra_);
+  if (HasEvidence)
+    Fields.push_back(toJson(Message.Evidence_));
   return encodeJson(Fields);
 }
 
@@ -236,7 +259,7 @@
       Bytes, Decoded, [](const Json &Fields, GossipMessage &Message) {
         unsigned Kind = 0;
         readUnsigned(Fields.at(0), Kind);
-        if (Kind > static_cast<unsigned>(GossipKind::Quarantine))
+        if (Kind > static_cast<unsigned>(GossipKind::StoreEvidence))
           throw Json::other_error::create(501, "kind out of range", &Fields);
         Message.Kind_ = static_cast<GossipKind>(Kind);
         readUnsigned(Fields.at(1), Message.Sequence_);
@@ -254,6 +277,8 @@
                      Message.Quarantine_.Cleared_);
         if (Fields.size() > StoreEraField)
           readUnsigned(Fields.at(StoreEraField), Message.StoreEra_);
+        if (Fields.size() > StoreEvidenceField)
+          fromJson(Fields.at(StoreEvidenceField), Message.Evidence_);
       });
 }
 
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -170,6 +170,7 @@
   }
   case GossipKind::SettingsUpdate:
   case GossipKind::Quarantine:
+  case GossipKind::StoreEvidence:
     return;
   }
 }
@@ -315,6 +316,14 @@
   }
 }
 
+void Membership::sendEvidence(const Endpoint &To,
+                              const StoreEvidence &Evidence) {
+  GossipMessage Message;
+  Message.Kind_ = GossipKind::StoreEvidence;
+  Message.Evidence_ = Evidence;
+  send(To, Message);
+}
+
 void Membership::send(const Endpoint &To, GossipMessage Message) {
   Message.From_ = Self_.Node_;
   Message.SettingsDigest_ = SettingsDigest_;
@@ -351,6 +360,14 @@
   }
 }
 
+std::vector<const Member *> Membership::availableMembers() const {
+  std::vector<const Member *> Result;
+  for (const std::pair<const std::string, Entry> &NodeEntry : Entries_)
+    if (isAvailable(NodeEntry.second.Member_))
+      Result.push_back(&NodeEntry.second.Member_);
+  return Result;
+}
+
 std::vector<Member> Membership::available() const {
   std::vector<Member> Result;
   for (const std::pair<const std::string, Entry> &NodeEntry : Entries_)
--- a/src/shell/node_shell.cpp
+++ b/src/shell/node_shell.cpp
@@ -156,7 +156,8 @@
     Shell_.Store_.listNodes(Command.Era_);
   }
   void operator()(const StoreWatch &Command) const {
-    Shell_.Store_.watch(Command.Collection_, Command.Since_, Command.Era_);
+    Shell_.Store_.watch(Command.Collection_, Command.Since_, Command.Era_,
+                        Command.Wait_);
   }
   void operator()(const StoreAnnounce &Command) const {
     Shell_.Store_.announce(Command.Era_);
--- a/src/shell/store_client.cpp
+++ b/src/shell/store_client.cpp
@@ -14,11 +14,7 @@
 // The store responds within milliseconds, and still within this timeout when it
 // is 100 times slower. A longer timeout would only hide a lost response.
 constexpr std::chrono::milliseconds CallTimeout{1500};
-// A watch ends after this time even without a change. A watch whose responses
-// get lost is therefore detected WatchSlack later, which limits the delay of a
-// settings change.
-constexpr unsigned RoutesWatchMs = 2'000;
-constexpr unsigned TeamsWatchMs = 25'000;
+// A watch whose responses get lost is detected this time after its end.
 constexpr std::chrono::milliseconds WatchSlack{750};
 
 HttpLimits storeLimits() {
@@ -51,8 +47,10 @@
        listRequest(objectKind(Kind), "", Freshness::Latest), CallTimeout);
 }
 
-void StoreClient::watch(Collection Kind, std::uint64_t Since, Era Known) {
-  unsigned WaitMs = Kind == Collection::Routes ? RoutesWatchMs : TeamsWatchMs;
+void StoreClient::watch(Collection Kind, std::uint64_t Since, Era Known,
+                        Micros Wait) {
+  auto WaitMs = static_cast<unsigned>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(Wait).count());
   send({StoreCall::Watch, Kind, {Known, {}}, false, {}, {}},
        watchRequest(objectKind(Kind), Since, WaitMs),
        std::chrono::milliseconds(WaitMs) + WatchSlack);
--- a/tests/mutants/mutants.py
+++ b/tests/mutants/mutants.py
@@ -24,6 +24,20 @@
 ENTRIES = "src/routing/entry_distribution.cpp"
 
 CORE = [
+    Mutant(
+        "nobody-follows-the-store-for-its-watchers",
+        "src/engine/follow_system.cpp",
+        "    if (Node.Now_ >= TakeOverAt)\n",
+        "    if (Node.Now_ >= TakeOverAt && isElected(Node))\n",
+        "unit",
+    ),
+    Mutant(
+        "evidence-of-the-store-is-not-passed-on",
+        "src/engine/follow_system.cpp",
+        "                                     Evidence.Elected_))\n    passOn(Node, Evidence);",
+        "                                     Evidence.Elected_))\n    return;",
+        "unit",
+    ),
     Mutant(
         "long-head-is-sent-as-fields",
         "src/shell/peer_head.cpp",
@@ -507,9 +521,9 @@
     ),
     Mutant(
         "no-node-watches-the-store",
-        "src/engine/store_system.cpp",
-        "  return Heavier < WatchersPerDomain && Node.Phase_ != NodePhase::Leaving;",
-        "  return false && Heavier < WatchersPerDomain;",
+        "src/engine/follow_system.cpp",
+        "         (Node.Sync_.Substitute_ || isElected(Node));",
+        "         false && isElected(Node);",
         "test_platform",
     ),
 ]
--- /dev/null
+++ b/tests/unit/engine_mesh.cpp
@@ -0,0 +1,270 @@
+#include "unit/engine_mesh.hpp"
+
+#include <algorithm> // min
+
+namespace fulmarshelf::test {
+
+namespace {
+
+constexpr Micros NetworkDelay = millis(1);
+constexpr Micros StoreDelay = millis(3);
+constexpr Micros CallTimeout = millis(1500);
+constexpr Micros WatchSlack = millis(750);
+constexpr Micros ConnectTimeout = millis(500);
+
+std::string nameOf(std::size_t Node) { return "node-" + std::to_string(Node); }
+
+Endpoint addressOf(std::size_t Node) {
+  return {"10.0." + std::to_string(Node / 250) + "." +
+              std::to_string(1 + Node % 250),
+          7000};
+}
+
+} // namespace
+
+struct EngineMesh::ActionVisitor {
+  EngineMesh &Mesh_;
+  std::size_t Node_;
+
+  void failLater(StoreCall Call, Collection Kind, Micros Timeout) const {
+    Micros Delay = Mesh_.Refusal_ == Refusal::Reset ? NetworkDelay : Timeout;
+    Mesh_.schedule(Node_, Delay, StoreFailed{Call, Kind, "no answer", {}});
+  }
+
+  void operator()(const SendDatagram &Command) const {
+    Mesh_.DatagramBytes_ += Command.Bytes_.size();
+    std::optional<std::size_t> To = Mesh_.nodeAt(Command.To_);
+    std::bernoulli_distribution Lost(Mesh_.LossShare_);
+    if (To && Mesh_.canReach(Node_, *To) && !Lost(Mesh_.Random_))
+      Mesh_.schedule(*To, NetworkDelay,
+                     DatagramArrived{addressOf(Node_), Command.Bytes_});
+  }
+  void operator()(const OpenLink &Command) const {
+    std::optional<std::size_t> To = Mesh_.nodeAt(Command.Peer_);
+    if (!To || !Mesh_.canReach(Node_, *To)) {
+      Mesh_.schedule(Node_, ConnectTimeout, LinkClosed{Command.Link_});
+      return;
+    }
+    Mesh_.PeerOfLink_[{Node_, Command.Link_.Value_}] = *To;
+    Mesh_.schedule(Node_, 2 * NetworkDelay,
+                   LinkEstablished{Command.Link_, nameOf(*To),
+                                   Mesh_.state(*To).Config_.Incarnation_});
+  }
+  void operator()(const PingLink &Command) const {
+    auto Peer = Mesh_.PeerOfLink_.find({Node_, Command.Link_.Value_});
+    if (Peer != Mesh_.PeerOfLink_.end() && Mesh_.canReach(Node_, Peer->second))
+      Mesh_.schedule(Node_, 2 * NetworkDelay, LinkActivity{Command.Link_});
+  }
+  void operator()(const SendSync &Command) const {
+    auto Peer = Mesh_.PeerOfLink_.find({Node_, Command.Link_.Value_});
+    if (Peer == Mesh_.PeerOfLink_.end() || !Mesh_.canReach(Node_, Peer->second))
+      return;
+    StreamKey Stream{++Mesh_.LastStream_};
+    Mesh_.Syncs_[Stream.Value_] = {Node_, Command.Link_};
+    Mesh_.schedule(Peer->second, NetworkDelay,
+                   SyncArrived{Stream, Command.Message_});
+  }
+  void operator()(const AnswerSync &Command) const {
+    const std::pair<std::size_t, LinkId> &Asking =
+        Mesh_.Syncs_.at(Command.Stream_.Value_);
+    if (Mesh_.canReach(Node_, Asking.first))
+      Mesh_.schedule(Asking.first, NetworkDelay,
+                     SyncAnswered{Asking.second, Command.Reply_});
+  }
+  void operator()(const StoreList &Command) const {
+    ++Mesh_.StoreCalls_;
+    if (Mesh_.isTurnedAway(Node_))
+      failLater(StoreCall::List, Command.Collection_, CallTimeout);
+    else
+      Mesh_.schedule(Node_, StoreDelay, Mesh_.listOf(Command.Collection_));
+  }
+  void operator()(const StoreWatch &Command) const {
+    ++Mesh_.StoreCalls_;
+    if (Mesh_.isTurnedAway(Node_))
+      failLater(StoreCall::Watch, Command.Collection_,
+                Command.Wait_ + WatchSlack);
+    else
+      Mesh_.Watches_.push_back({Node_, Command.Collection_, Command.Since_,
+                                Mesh_.Now_ + StoreDelay + Command.Wait_});
+  }
+  void operator()(const StoreAnnounce &) const {
+    if (Mesh_.isTurnedAway(Node_))
+      failLater(StoreCall::Announce, Collection::Teams, CallTimeout);
+    else
+      Mesh_.schedule(Node_, StoreDelay, StoreAnnounced{});
+  }
+  void operator()(const StoreListNodes &) const {
+    if (Mesh_.isTurnedAway(Node_)) {
+      failLater(StoreCall::Nodes, Collection::Teams, CallTimeout);
+      return;
+    }
+    StoreNodesListed Listed;
+    for (std::size_t Node = 0; Node < Mesh_.size(); ++Node)
+      Listed.Nodes_.push_back({nameOf(Node), addressOf(Node)});
+    Mesh_.schedule(Node_, StoreDelay, Listed);
+  }
+  void operator()(const WriteLog &Command) const {
+    ++Mesh_.Logged_[Command.Record_.Event_];
+  }
+  template <typename Other> void operator()(const Other & /*Command*/) const {}
+};
+
+EngineMesh::EngineMesh(std::size_t Nodes, std::size_t Domains)
+    : Domains_(Domains), Starts_(Nodes, 1) {
+  writeTable();
+  for (std::size_t Node = 0; Node < Nodes; ++Node)
+    Engines_.push_back(std::make_unique<Engine>(configOf(Node)));
+  for (std::size_t Node = 0; Node < Nodes; ++Node) {
+    Engines_[Node]->start(Now_);
+    carryOut(Node);
+  }
+}
+
+EngineConfig EngineMesh::configOf(std::size_t Node) const {
+  EngineConfig Config;
+  Config.Settings_.Interface_ = InterfaceKind::Platform;
+  Config.Settings_.Service_ = "shop";
+  Config.Settings_.Name_ = nameOf(Node);
+  Config.Settings_.FailureDomain_ = "d" + std::to_string(Node % Domains_);
+  Config.Settings_.Region_ = "r";
+  Config.Settings_.AdvertisedPeer_ = addressOf(Node);
+  Config.Incarnation_ = Starts_[Node];
+  Config.Seed_ = 100 * Node + Starts_[Node];
+  return Config;
+}
+
+void EngineMesh::restart(std::size_t Node) {
+  ++Starts_[Node];
+  std::erase_if(Watches_,
+                [Node](const Watch &Entry) { return Entry.Node_ == Node; });
+  Engines_[Node] = std::make_unique<Engine>(configOf(Node));
+  Engines_[Node]->start(Now_);
+  carryOut(Node);
+}
+
+std::optional<std::size_t> EngineMesh::nodeAt(const Endpoint &Peer) const {
+  for (std::size_t Node = 0; Node < Engines_.size(); ++Node)
+    if (addressOf(Node) == Peer)
+      return Node;
+  return std::nullopt;
+}
+
+bool EngineMesh::canReach(std::size_t From, std::size_t To) const {
+  return Isolated_.contains(From) == Isolated_.contains(To);
+}
+
+void EngineMesh::schedule(std::size_t Node, Micros Delay, Input NewInput) {
+  Events_.emplace(Now_ + Delay,
+                  Event{Node, Starts_[Node], std::move(NewInput)});
+}
+
+void EngineMesh::carryOut(std::size_t Node) {
+  for (const Action &Command : Engines_[Node]->takeActions())
+    std::visit(ActionVisitor{*this, Node}, Command);
+}
+
+void EngineMesh::handle(std::size_t Node, const Input &NewInput) {
+  Engines_[Node]->handle(Now_, NewInput);
+  carryOut(Node);
+}
+
+StoreListed EngineMesh::listOf(Collection Kind) const {
+  StoreListed Listed{Kind, Revision_, {}, {}};
+  if (Kind == Collection::Routes)
+    Listed.Subtrees_.push_back({std::string(RouteTablePath), Version_, false,
+                                "[service shop]\n[route 1]\nhost = h\n"
+                                "prefix = /a/\nservices = shop:1\n"
+                                "timeout-ms = 800\n"});
+  return Listed;
+}
+
+std::uint64_t EngineMesh::writeTable() {
+  ++Version_;
+  ++Revision_;
+  return Version_;
+}
+
+void EngineMesh::turnAway(const std::set<std::size_t> &Nodes, Refusal How) {
+  TurnedAway_ = Nodes;
+  Refusal_ = How;
+}
+
+// Ends the watches that have a change, have lasted long enough, or are cut.
+void EngineMesh::endWatches() {
+  std::vector<Watch> Waiting;
+  for (const Watch &Entry : Watches_) {
+    bool Cut = isTurnedAway(Entry.Node_);
+    bool Changed = Entry.Collection_ == Collection::Routes &&
+                   Entry.Since_ < Revision_ && !Cut;
+    bool Expired = Now_ >= Entry.EndsAt_;
+    if (Cut && Refusal_ == Refusal::Reset) {
+      schedule(Entry.Node_, NetworkDelay,
+               StoreFailed{StoreCall::Watch, Entry.Collection_, "reset", {}});
+    } else if (Cut && Expired) {
+      schedule(Entry.Node_, WatchSlack,
+               StoreFailed{StoreCall::Watch, Entry.Collection_, "silent", {}});
+    } else if (Changed || Expired) {
+      StoreListed Listed = listOf(Entry.Collection_);
+      StoreWatched Watched{Entry.Collection_, Revision_, {}, {}};
+      if (Changed)
+        Watched.Changes_ = Listed.Subtrees_;
+      schedule(Entry.Node_, StoreDelay, Watched);
+    } else {
+      Waiting.push_back(Entry);
+    }
+  }
+  Watches_ = std::move(Waiting);
+}
+
+void EngineMesh::run(Micros Duration) {
+  TimePoint End = Now_ + Duration;
+  while (true) {
+    endWatches();
+    TimePoint Next = End;
+    if (!Events_.empty())
+      Next = std::min(Next, Events_.begin()->first);
+    for (const std::unique_ptr<Engine> &Core : Engines_)
+      Next = std::min(Next, Core->nextTimer());
+    for (const Watch &Entry : Watches_)
+      Next = std::min(Next, std::max(Now_ + Micros(1), Entry.EndsAt_));
+    if (Next >= End) {
+      Now_ = End;
+      return;
+    }
+    Now_ = std::max(Now_, Next);
+    while (!Events_.empty() && Events_.begin()->first <= Now_) {
+      Event Due = std::move(Events_.begin()->second);
+      Events_.erase(Events_.begin());
+      if (Due.Start_ == Starts_[Due.Node_])
+        handle(Due.Node_, Due.Input_);
+    }
+    for (std::size_t Node = 0; Node < Engines_.size(); ++Node)
+      if (Engines_[Node]->nextTimer() <= Now_) {
+        Engines_[Node]->tick(Now_);
+        carryOut(Node);
+      }
+  }
+}
+
+std::set<std::size_t> EngineMesh::watchers() const {
+  std::set<std::size_t> Result;
+  for (const Watch &Entry : Watches_)
+    if (Entry.Collection_ == Collection::Routes)
+      Result.insert(Entry.Node_);
+  return Result;
+}
+
+std::uint64_t EngineMesh::version(std::size_t Node) const {
+  return state(Node).Settings_.versionOf(std::string(RouteTablePath));
+}
+
+const NodeState &EngineMesh::state(std::size_t Node) const {
+  return Engines_[Node]->state();
+}
+
+std::size_t EngineMesh::logged(EventNumber Event) const {
+  auto Entry = Logged_.find(Event);
+  return Entry == Logged_.end() ? 0 : Entry->second;
+}
+
+} // namespace fulmarshelf::test
--- /dev/null
+++ b/tests/unit/engine_mesh.hpp
@@ -0,0 +1,111 @@
+#ifndef FULMARSHELF_TESTS_UNIT_ENGINE_MESH_HPP
+#define FULMARSHELF_TESTS_UNIT_ENGINE_MESH_HPP
+
+#include "fulmarshelf/detail/engine/engine.hpp" // Engine
+
+#include <map>      // map
+#include <memory>   // unique_ptr
+#include <optional> // optional
+#include <random>   // mt19937_64
+#include <set>      // set
+#include <string>   // string
+#include <vector>   // vector
+
+namespace fulmarshelf::test {
+
+/// @brief How the store treats calls that it does not serve.
+enum class Refusal : std::uint8_t { Reset, Silence };
+
+/// @brief Engines of several nodes with a route table, a store and a network
+/// between them, in one process and in virtual time.
+class EngineMesh {
+public:
+  /// @param Nodes number of nodes, spread evenly over the failure domains
+  explicit EngineMesh(std::size_t Nodes, std::size_t Domains = 3);
+
+  /// @brief Handles all events of a span of virtual time.
+  void run(Micros Duration);
+
+  /// @brief Writes the next version of the route table to the store.
+  std::uint64_t writeTable();
+
+  /// @brief The store turns away these nodes from now on, and no others.
+  void turnAway(const std::set<std::size_t> &Nodes, Refusal How);
+
+  /// @brief The nodes of this set reach only each other, until heal().
+  void isolate(const std::set<std::size_t> &Nodes) { Isolated_ = Nodes; }
+  void heal() { Isolated_.clear(); }
+
+  /// @brief Drops each datagram with this probability.
+  void loseDatagrams(double Share) { LossShare_ = Share; }
+
+  /// @brief Ends a node without notice and starts it again.
+  void restart(std::size_t Node);
+
+  /// @brief Gives an input to a node.
+  void handle(std::size_t Node, const Input &Event);
+
+  /// @brief Nodes whose watch of the route table waits at the store.
+  std::set<std::size_t> watchers() const;
+
+  /// @brief Version of the route table in force on a node; 0: none.
+  std::uint64_t version(std::size_t Node) const;
+  const NodeState &state(std::size_t Node) const;
+  std::size_t size() const { return Engines_.size(); }
+
+  /// @brief Lists and watches that nodes have requested.
+  std::size_t storeCalls() const { return StoreCalls_; }
+  /// @brief Events of one kind that nodes have logged.
+  std::size_t logged(EventNumber Event) const;
+  /// @brief Bytes of all datagrams, without their UDP and IP headers.
+  std::size_t datagramBytes() const { return DatagramBytes_; }
+
+private:
+  struct ActionVisitor;
+  struct Event {
+    std::size_t Node_ = 0;
+    std::uint64_t Start_ = 0; ///< events of an ended process are dropped
+    Input Input_;
+  };
+  struct Watch {
+    std::size_t Node_ = 0;
+    Collection Collection_ = Collection::Teams;
+    std::uint64_t Since_ = 0;
+    TimePoint EndsAt_;
+  };
+
+  void schedule(std::size_t Node, Micros Delay, Input Event);
+  void carryOut(std::size_t Node);
+  void endWatches();
+  StoreListed listOf(Collection Kind) const;
+  bool canReach(std::size_t From, std::size_t To) const;
+  bool isTurnedAway(std::size_t Node) const {
+    return TurnedAway_.contains(Node);
+  }
+  EngineConfig configOf(std::size_t Node) const;
+  std::optional<std::size_t> nodeAt(const Endpoint &Peer) const;
+
+  std::size_t Domains_;
+  std::vector<std::unique_ptr<Engine>> Engines_;
+  std::vector<std::uint64_t> Starts_; ///< of each node
+  std::mt19937_64 Random_{7};
+  TimePoint Now_{millis(1'000'000)};
+  std::multimap<TimePoint, Event> Events_;
+  std::vector<Watch> Watches_;
+  std::map<std::pair<std::size_t, std::uint64_t>, std::size_t> PeerOfLink_;
+  std::map<std::uint64_t, std::pair<std::size_t, LinkId>> Syncs_; ///< by stream
+  std::uint64_t LastStream_ = 0;
+  std::uint64_t Version_ = 0;
+  std::uint64_t Revision_ = 1;
+  std::set<std::size_t> TurnedAway_;
+  Refusal Refusal_ = Refusal::Reset;
+  std::set<std::size_t> Isolated_;
+  double LossShare_ = 0;
+  std::size_t StoreCalls_ = 0;
+  std::size_t DatagramBytes_ = 0;
+  std::map<EventNumber, std::size_t> Logged_;
+};
+
+} // namespace fulmarshelf::test
+
+#endif
--- a/tests/unit/odd_entries_test.cpp
+++ b/tests/unit/odd_entries_test.cpp
@@ -187,6 +187,7 @@
   Message.From_ = "a";
   Message.Members_ = {Member()};
   Message.StoreEra_ = 1;
+  Message.Evidence_.Node_ = "b"; // the last field
   Json Sound = Json::from_cbor(encode(Message));
   // A field that this release does not know is ignored, unless it is nested too
   // deeply.
@@ -211,6 +212,13 @@
     Json::to_cbor(Odd, Bytes);
     CHECK_FALSE(decode(Bytes, Decoded));
   }
+  for (const Json &Number : {Json(-1), Json(0.5), Json("80"), Json(nullptr)}) {
+    Json Odd = Sound;
+    Odd[12][2] = Number; // age of the evidence
+    std::string Bytes;
+    Json::to_cbor(Odd, Bytes);
+    CHECK_FALSE(decode(Bytes, Decoded));
+  }
 }
 
 TEST(OddEntries, AnnouncementsAreRejected) {
