Keep acknowledged departures beyond the process that acknowledged them

What callers saw: a node acknowledged the departure of the server beside it, and a late heartbeat brought the server back; requests reached it until it ended, and those that ran then were lost (DRAIN).

Cause: the departure was noted only for a server that the process knew, and only in that process.

Ruled out: the order of heartbeats; a process that knows none has nothing to compare with, and the notice has neither start nor sequence.

Fix: a departure is a record by instance in the report that a node gives of itself. It is sent to other nodes before the notice is answered; they keep it beyond the node's process, and a started node finds it in their reports.

--- a/include/fulmarshelf/detail/engine/inputs.hpp
+++ b/include/fulmarshelf/detail/engine/inputs.hpp
@@ -130,6 +130,7 @@
 /// @brief The backend server reported its permanent departure.
 struct BackendDeparted {
   std::string Instance_;
+  std::uint64_t ReceivedMs_ = 0; ///< time of receipt, ms since 1970
 };
 
 /// @brief The backend server answered.
--- a/include/fulmarshelf/detail/engine/systems.hpp
+++ b/include/fulmarshelf/detail/engine/systems.hpp
@@ -118,6 +118,9 @@
 /// @brief Handles the leave notice of the backend server, which then receives
 /// no new work.
 void depart(NodeState &Node, const BackendDeparted &Input);
+/// @brief Handles departures that an earlier process of this node had
+/// acknowledged, as other nodes report them.
+void onDeparturesLearned(NodeState &Node);
 /// @brief Handles an answer from another incarnation at the address of the
 /// backend server. That incarnation receives no work until it announces itself.
 /// @param SentAt time at which the answered request was sent
--- a/include/fulmarshelf/detail/engine/tables.hpp
+++ b/include/fulmarshelf/detail/engine/tables.hpp
@@ -124,8 +124,9 @@
   bool Announced_ = false;
   Announcement Announcement_;
   std::optional<AnnouncementOrder> Order_; ///< order of the last announcement
-  std::string DepartedInstance_; ///< incarnation that reported its departure
-  TimePoint ColdUntil_;          ///< end of its reported warm-up
+  /// Until then, departures of incarnations with an unknown start count.
+  TimePoint EstimatesCountUntil_;
+  TimePoint ColdUntil_;              ///< end of its reported warm-up
   bool ReplacedUnannounced_ = false; ///< another incarnation has its address
   TimePoint LastHeardAt_;            ///< last announcement or answer
   TimePoint SuspectUntil_;     ///< end of the pause after a failed connection
--- a/include/fulmarshelf/detail/membership/member.hpp
+++ b/include/fulmarshelf/detail/membership/member.hpp
@@ -2,11 +2,13 @@
 #define FULMARSHELF_DETAIL_MEMBERSHIP_MEMBER_HPP
 
 #include "fulmarshelf/detail/base/ids.hpp"               // Incarnation
+#include "fulmarshelf/detail/membership/departure.hpp"   // Departure
 #include "fulmarshelf/detail/settings/node_settings.hpp" // Endpoint
 
 #include <cstdint>     // uint8_t, uint32_t, uint64_t
 #include <string>      // string
 #include <string_view> // string_view
+#include <vector>      // vector
 
 namespace fulmarshelf {
 
@@ -27,6 +29,8 @@
   std::string Region_;
   std::string FailureDomain_;
   std::string Service_; ///< service of the backend server, empty without one
+  /// Outlives the node's process in the reports that other nodes keep.
+  std::vector<Departure> Departures_;
   friend bool operator==(const Member &, const Member &) = default;
 };
 
--- a/include/fulmarshelf/detail/membership/membership.hpp
+++ b/include/fulmarshelf/detail/membership/membership.hpp
@@ -37,6 +37,14 @@
   void setSelf(MemberStatus Status, const std::string &Service);
   const Member &self() const { return Self_; }
 
+  /// @brief Adds a departure of this VM's backend server to the report that
+  /// this node gives of itself.
+  void addDeparture(const Departure &Added);
+
+  /// @brief Returns whether departures that an earlier process of this node has
+  /// reported became known since the last call.
+  bool takeDeparturesLearned();
+
   /// @brief Adds reports from a datagram, a sync or the platform.
   void learn(TimePoint Now, const std::vector<Member> &Reports);
 
@@ -111,6 +119,7 @@
 
   bool applyReport(TimePoint Now, const Member &Report);
   void refute(const Member &Report);
+  bool mergeOwnDepartures(const std::vector<Departure> &Added);
   void store(TimePoint Now, const Member &Report);
   void suspect(TimePoint Now, const std::string &Node);
   void startProbe(TimePoint Now);
@@ -141,6 +150,7 @@
   std::vector<SettingsVersion> SettingsUpdates_;
   std::vector<GossipSend> Sends_;
   std::vector<Member> ChangedMembers_;
+  bool DeparturesLearned_ = false;
 };
 
 } // namespace fulmarshelf
--- a/src/engine/backend_system.cpp
+++ b/src/engine/backend_system.cpp
@@ -16,6 +16,10 @@
 constexpr Micros AnnouncementTimeout = millis(3500);
 constexpr Micros RouteTableAnnouncementTimeout = millis(8000);
 
+// An announcement is delayed by less than this time. A clock that was set back
+// after a departure does not keep the next incarnation out for longer.
+constexpr Micros LateAnnouncementTime = millis(30'000);
+
 // Publishes to the mesh the service for which this node accepts work.
 void publishService(NodeState &Node) {
   MemberStatus Status = Node.Phase_ == NodePhase::Leaving
@@ -39,15 +43,29 @@
 
 namespace {
 
+bool isDeparted(const NodeState &Node, const std::string &Instance,
+                const AnnouncementOrder &Order) {
+  return fulmarshelf::isDeparted(
+      Node.Membership_.self().Departures_, Instance, Order.StartedMs_,
+      Order.Sequence_, Node.Now_ < Node.Backend_.EstimatesCountUntil_);
+}
+
 // True for an announcement that is older than the last one, or whose
 // incarnation has departed. Such an announcement must not replace newer state.
-bool isOutdated(const Backend &Local, const BackendAnnounced &Input) {
-  if (!Input.Order_ || !Local.Order_)
+bool isOutdated(const NodeState &Node, const BackendAnnounced &Input) {
+  if (!Input.Order_)
     return false;
-  const std::string &Instance = Input.Announcement_.Instance_;
-  bool Departed = Local.DepartedInstance_ == Instance &&
-                  Input.Order_->StartedMs_ <= Local.Order_->StartedMs_;
-  return Departed || *Input.Order_ < *Local.Order_;
+  const std::optional<AnnouncementOrder> &Last = Node.Backend_.Order_;
+  return isDeparted(Node, Input.Announcement_.Instance_, *Input.Order_) ||
+         (Last && *Input.Order_ < *Last);
+}
+
+// An incarnation that drains may still announce itself.
+void noteDraining(NodeState &Node, const BackendAnnounced &Input) {
+  if (Input.Announcement_.State_ == BackendState::Draining && Input.Order_)
+    Node.Membership_.addDeparture({Input.Order_->StartedMs_,
+                                   Input.Announcement_.Instance_,
+                                   Input.Order_->Sequence_, true});
 }
 
 bool isKnownService(const NodeState &Node, const Announcement &Received) {
@@ -80,7 +98,6 @@
 void startIncarnation(NodeState &Node) {
   Node.Limit_.restart();
   Node.Failures_.restart();
-  Node.Backend_.DepartedInstance_.clear();
   Node.Backend_.ReplacedUnannounced_ = false;
   Node.Backend_.HasAnswered_ = false;
   Node.Backend_.FirstDispatchAt_ = TimePoint{};
@@ -136,7 +153,7 @@
 void announce(NodeState &Node, const BackendAnnounced &Input) {
   const Announcement &Received = Input.Announcement_;
   Backend &Local = Node.Backend_;
-  if (isOutdated(Local, Input) || !isKnownService(Node, Received)) {
+  if (isOutdated(Node, Input) || !isKnownService(Node, Received)) {
     logAnnouncement(Node, EventNumber::BackendNoticeIgnored, Input);
     return;
   }
@@ -160,6 +177,7 @@
   if (!Changed)
     return;
   logAnnouncement(Node, EventNumber::BackendAnnounced, Input);
+  noteDraining(Node, Input);
   publishService(Node);
   Node.Membership_.broadcast({});
   if (Received.State_ == BackendState::Draining) {
@@ -175,7 +193,10 @@
 void stopServing(NodeState &Node) {
   Backend &Local = Node.Backend_;
   Node.Crashes_.reset();
-  Local.DepartedInstance_ = Local.Announcement_.Instance_;
+  if (Local.Order_)
+    Node.Membership_.addDeparture({Local.Order_->StartedMs_,
+                                   Local.Announcement_.Instance_,
+                                   Departure::Final, true});
   Local.Announcement_.State_ = BackendState::Draining;
   publishService(Node);
   Node.Membership_.broadcast({});
@@ -197,14 +218,38 @@
 
 void depart(NodeState &Node, const BackendDeparted &Input) {
   const Backend &Local = Node.Backend_;
-  bool Present =
-      Local.Announced_ && Local.Announcement_.Instance_ == Input.Instance_;
+  bool Present = Local.Announcement_.Instance_ == Input.Instance_ &&
+                 (Local.Announced_ || Local.Order_);
   log(Node, EventNumber::BackendDeparted,
       {{"instance", Input.Instance_},
        {"present", Present ? "yes" : "no"},
        {"source", "notice"}});
-  if (Present)
+  if (Present) {
     stopServing(Node);
+    return;
+  }
+  // The announcements of this incarnation are still on their way, or went to an
+  // earlier process of this node.
+  Node.Backend_.EstimatesCountUntil_ = Node.Now_ + LateAnnouncementTime;
+  Node.Membership_.addDeparture(
+      {Input.ReceivedMs_, Input.Instance_, Departure::Final, false});
+  Node.Membership_.broadcast({});
+}
+
+void onDeparturesLearned(NodeState &Node) {
+  if (!Node.Membership_.takeDeparturesLearned())
+    return;
+  Backend &Local = Node.Backend_;
+  Local.EstimatesCountUntil_ = Node.Now_ + LateAnnouncementTime;
+  if (!Local.Announced_ || !Local.Order_ ||
+      Local.Announcement_.State_ == BackendState::Draining ||
+      !isDeparted(Node, Local.Announcement_.Instance_, *Local.Order_))
+    return;
+  log(Node, EventNumber::BackendDeparted,
+      {{"instance", Local.Announcement_.Instance_},
+       {"present", "yes"},
+       {"source", "peer"}});
+  stopServing(Node);
 }
 
 void onOtherInstance(NodeState &Node, TimePoint SentAt) {
--- a/src/engine/membership_system.cpp
+++ b/src/engine/membership_system.cpp
@@ -41,6 +41,7 @@
   if (!decode(Input.Bytes_, Message))
     return;
   Node.Membership_.receive(Node.Now_, Input.From_, Message);
+  backend_system::onDeparturesLearned(Node);
   settings_system::onSettingsUpdate(Node, Message);
   follow_system::onEvidence(Node, Message);
   if (!Message.Quarantine_.empty())
--- a/src/engine/settings_system.cpp
+++ b/src/engine/settings_system.cpp
@@ -194,6 +194,7 @@
 
 void onSyncAnswered(NodeState &Node, const SyncAnswered &Input) {
   Node.Membership_.learn(Node.Now_, Input.Reply_.Members_);
+  backend_system::onDeparturesLearned(Node);
   Node.Quarantine_.learnEvidence(Node.Now_, Input.Reply_.Evidence_);
   applyAll(Node, Input.Reply_.Subtrees_, "peer");
   if (Input.Reply_.Serving_)
--- a/src/membership/gossip_codec.cpp
+++ b/src/membership/gossip_codec.cpp
@@ -13,6 +13,7 @@
 using Json = nlohmann::json;
 
 // Nodes of earlier versions send fewer fields.
+constexpr std::size_t DeparturesField = 8; // of a member
 constexpr std::size_t QuarantineField = 9;
 constexpr std::size_t StoreEraField = 11;
 constexpr std::size_t StoreEvidenceField = 12;
@@ -25,11 +26,22 @@
   return Json::array({Address.Address_, Address.Port_});
 }
 
+Json toJson(const Departure &Entry) {
+  return Json::array({Entry.StartedMs_, Entry.Instance_, Entry.LastSequence_,
+                      Entry.StartKnown_});
+}
+
 Json toJson(const Member &Report) {
-  return Json::array({Report.Node_, Report.Incarnation_, Report.Version_,
-                      static_cast<unsigned>(Report.Status_),
-                      toJson(Report.Peer_), Report.Region_,
-                      Report.FailureDomain_, Report.Service_});
+  Json Fields =
+      Json::array({Report.Node_, Report.Incarnation_, Report.Version_,
+                   static_cast<unsigned>(Report.Status_), toJson(Report.Peer_),
+                   Report.Region_, Report.FailureDomain_, Report.Service_});
+  if (!Report.Departures_.empty()) {
+    Fields.push_back(Json::array());
+    for (const Departure &Entry : Report.Departures_)
+      Fields.back().push_back(toJson(Entry));
+  }
+  return Fields;
 }
 
 Json toJson(const SettingsVersion &Version) {
@@ -71,6 +83,13 @@
   readUnsigned(Source.at(1), Decoded.Port_);
 }
 
+void fromJson(const Json &Source, Departure &Decoded) {
+  readUnsigned(Source.at(0), Decoded.StartedMs_);
+  Source.at(1).get_to(Decoded.Instance_);
+  readUnsigned(Source.at(2), Decoded.LastSequence_);
+  Source.at(3).get_to(Decoded.StartKnown_);
+}
+
 void fromJson(const Json &Source, Member &Decoded) {
   Source.at(0).get_to(Decoded.Node_);
   readUnsigned(Source.at(1), Decoded.Incarnation_);
@@ -84,6 +103,15 @@
   Source.at(5).get_to(Decoded.Region_);
   Source.at(6).get_to(Decoded.FailureDomain_);
   Source.at(7).get_to(Decoded.Service_);
+  if (Source.size() <= DeparturesField)
+    return;
+  std::vector<Departure> Departures;
+  for (const Json &Element : Source.at(DeparturesField)) {
+    Departure Entry;
+    fromJson(Element, Entry);
+    Departures.push_back(Entry);
+  }
+  mergeDepartures(Decoded.Departures_, Departures);
 }
 
 void fromJson(const Json &Source, SettingsVersion &Decoded) {
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -60,6 +60,25 @@
   RemainingSelfBroadcasts_ = broadcastCount();
 }
 
+void Membership::addDeparture(const Departure &Added) {
+  mergeOwnDepartures({Added});
+}
+
+bool Membership::takeDeparturesLearned() {
+  return std::exchange(DeparturesLearned_, false);
+}
+
+bool Membership::mergeOwnDepartures(const std::vector<Departure> &Added) {
+  if (!mergeDepartures(Self_.Departures_, Added))
+    return false;
+  Digest_ ^= memberDigest(Self_);
+  ++Self_.Version_;
+  ++Changes_;
+  Digest_ ^= memberDigest(Self_);
+  RemainingSelfBroadcasts_ = broadcastCount();
+  return true;
+}
+
 unsigned Membership::broadcastCount() const {
   return BroadcastFactor *
          static_cast<unsigned>(std::bit_width(Entries_.size() + 1));
@@ -77,8 +96,12 @@
   }
   auto Existing = Entries_.find(Report.Node_);
   if (Existing != Entries_.end() &&
-      !supersedes(Report, Existing->second.Member_))
+      !supersedes(Report, Existing->second.Member_)) {
+    if (mergeDepartures(Existing->second.Member_.Departures_,
+                        Report.Departures_))
+      Existing->second.RemainingBroadcasts_ = broadcastCount();
     return false;
+  }
   store(Now, Report);
   return true;
 }
@@ -86,6 +109,8 @@
 // Raises this node's version to supersede a report about this node that this
 // node did not issue.
 void Membership::refute(const Member &Report) {
+  if (mergeOwnDepartures(Report.Departures_))
+    DeparturesLearned_ = true;
   bool IsOlder = Report.Incarnation_ < Self_.Incarnation_ ||
                  (Report.Incarnation_ == Self_.Incarnation_ &&
                   Report.Version_ < Self_.Version_);
@@ -112,7 +137,9 @@
       !IsNew && Existing->second.Member_.Status_ == Report.Status_ &&
       Existing->second.Member_.Incarnation_ == Report.Incarnation_;
   Entry &Updated = Entries_[Report.Node_];
+  std::vector<Departure> Known = std::move(Updated.Member_.Departures_);
   Updated.Member_ = Report;
+  mergeDepartures(Updated.Member_.Departures_, Known);
   if (!SameStatus)
     Updated.StatusSince_ = Now;
   Updated.RemainingBroadcasts_ = broadcastCount();
--- a/src/shell/node_shell.cpp
+++ b/src/shell/node_shell.cpp
@@ -454,7 +454,10 @@
     Shell_.handleInput(Notice);
   }
   void operator()(const BackendDeparted &Notice) const {
-    Shell_.handleInput(Notice);
+    auto Now = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+    Shell_.handleInput(BackendDeparted{
+        Notice.Instance_, static_cast<std::uint64_t>(Now.count())});
   }
 };
 
--- a/tests/golden/runner.cpp
+++ b/tests/golden/runner.cpp
@@ -251,7 +251,8 @@
     return StoreUnreadable{Collection::Routes, Source.number("version", 1),
                            "it is no JSON object"};
   if (Word == "departed")
-    return BackendDeparted{Source.text("instance")};
+    return BackendDeparted{Source.text("instance"),
+                           Source.number("received", 0)};
   if (Word == "caller-gone")
     return CallerDisconnected{CallerKey{Source.number("id", 1)}};
   if (Word == "call")
--- a/tests/mutants/mutants.py
+++ b/tests/mutants/mutants.py
@@ -24,6 +24,20 @@
 ENTRIES = "src/routing/entry_distribution.cpp"
 
 CORE = [
+    Mutant(
+        "departure-is-forgotten-with-the-process",
+        "src/membership/membership.cpp",
+        "  mergeDepartures(Updated.Member_.Departures_, Known);\n",
+        "",
+        "unit",
+    ),
+    Mutant(
+        "departure-of-an-unknown-server-is-forgotten",
+        "src/engine/backend_system.cpp",
+        "Input.Instance_, Departure::Final, false});",
+        "Input.Instance_, 0, false});\n  Node.Backend_.EstimatesCountUntil_ = {};",
+        "unit",
+    ),
     Mutant(
         "nobody-follows-the-store-for-its-watchers",
         "src/engine/follow_system.cpp",
