--- a/tests/mutants/mutants.py
+++ b/tests/mutants/mutants.py
@@ -474,8 +474,8 @@
     Mutant(
         "outdated-announcement-is-applied",
         BACKEND,
-        "return Departed || *Input.Order_ < *Local.Order_;",
-        "return false;",
+        "         (Last && *Input.Order_ < *Last);",
+        "         false;",
         "golden",
     ),
     Mutant(
@@ -511,6 +511,13 @@
 ]
 
 PROCESSES = [
+    Mutant(
+        "request-that-cannot-end-before-the-kill-is-started",
+        ENTRY,
+        "return Node.Now_ + NewRequest.Context_.TimeLeft_ + KillMargin > KillAt;",
+        "return Node.Now_ > KillAt;",
+        "test_late_in_grace",
+    ),
     Mutant(
         "unknown-outcome-is-reported-as-not-run",
         ATTEMPTS,
