--- a/tests/unit/store_followers_test.cpp
+++ b/tests/unit/store_followers_test.cpp
@@ -132,7 +132,7 @@
     CHECK_EQUAL(Before, takeOvers(Mesh));
     // One call each EvidenceInterval, two watches of teams a minute by each of
     // six nodes, and the turns after a change.
-    CHECK(Mesh.storeCalls() - CallsBefore <= 200 + 18 + 12);
+    CHECK(Mesh.storeCalls() - CallsBefore <= std::size_t{200} + 18 + 12);
     // Bytes that a node sends a second, below its budget of 3 KB.
     CHECK((Mesh.datagramBytes() - BytesBefore) / 60 / Size < 1500);
   }
@@ -144,7 +144,7 @@
   Mesh.loseDatagrams(0.02);
   std::size_t CallsBefore = Mesh.storeCalls();
   Mesh.run(millis(60'000));
-  CHECK(Mesh.storeCalls() - CallsBefore <= 2 * (200 + 18));
+  CHECK(Mesh.storeCalls() - CallsBefore <= std::size_t{2} * (200 + 18));
 }
 
 // While the store answers nobody, all nodes together call it at a bounded rate,
@@ -157,7 +157,7 @@
   Mesh.run(millis(10'000));
   // Two collections are called each second by six watchers, and one collection
   // each two seconds by the others.
-  CHECK(Mesh.storeCalls() - Before <= 10 * (6 * 3 + 60 / 2));
+  CHECK(Mesh.storeCalls() - Before <= std::size_t{10} * (6 * 3 + 60 / 2));
   Mesh.turnAway({}, Refusal::Reset);
   std::uint64_t Version = Mesh.writeTable();
   Before = Mesh.storeCalls();
--- a/tools/instance_standin.cpp
+++ b/tools/instance_standin.cpp
@@ -26,7 +26,7 @@
 
 constexpr std::size_t MaxConnections = 4096;
 // Above the limits of the nodes, which are what the tests try.
-constexpr HttpLimits Limits{4 * 1024 * 1024, 1024 * 1024};
+constexpr HttpLimits Limits{4'194'304, 1'048'576};
 constexpr std::chrono::milliseconds HeartbeatInterval{500};
 constexpr std::chrono::milliseconds TimeToCrash{10};
 constexpr int CrashExitCode = 70;
