Let a started node learn its role before it follows for others

Cause: a node that knows no members yet watched for 0.3 s at a time, since it counted as the only follower; all nodes that start together did so until they had learned of each other.

Change: such a node watches for 2 s, as before the evidence, and takes nothing over in its first 3 s, in which no rule with a time bound counts it.

--- a/include/fulmarshelf/detail/engine/systems.hpp
+++ b/include/fulmarshelf/detail/engine/systems.hpp
@@ -230,6 +230,8 @@
 bool follows(const NodeState &Node);
 /// @brief True when another node of this failure domain follows the store.
 bool isFollowedInLocalDomain(const NodeState &Node);
+/// @brief Handles the start of service: the node has just got its settings.
+void onServing(NodeState &Node);
 /// @brief Time for which the next watch waits for a change.
 Micros watchTime(const NodeState &Node);
 /// @brief Reports an answer of the store to this node.
--- a/src/engine/follow_system.cpp
+++ b/src/engine/follow_system.cpp
@@ -21,7 +21,10 @@
 constexpr Micros MinRetry = millis(2000);
 constexpr Micros MaxRetry = millis(12'000);
 constexpr std::size_t TreeFanout = 3;
-constexpr unsigned EarlyNodeLists = 2;
+// A started node knows no members at first, and watches until it has learned
+// whether it is elected. It takes nothing over before.
+constexpr Micros LoneWatchTime = millis(2000);
+constexpr Micros StartTime = millis(3000);
 constexpr Micros MinCheckDelay = millis(10);
 
 const std::string &localDomain(const NodeState &Node) {
@@ -145,15 +148,16 @@
 }
 
 Micros watchTime(const NodeState &Node) {
-  // A node that has just started learns soon whether it is elected.
-  bool IsAlone = Node.Membership_.availableMembers().empty();
-  bool IsNew = Node.Sync_.NodeListCount_ < EarlyNodeLists;
-  if (IsAlone)
-    return IsNew ? StoreFollowers::EvidenceInterval
-                 : StoreFollowers::MaxWatchTime;
+  if (Node.Membership_.availableMembers().empty())
+    return LoneWatchTime;
   return Node.Sync_.Followers_.watchTime(Node.Now_, localNodeName(Node));
 }
 
+void onServing(NodeState &Node) {
+  Node.Sync_.Followers_.onOtherAnswer(Node.Now_);
+  Node.Sync_.NextTakeOverAt_ = Node.Now_ + StartTime;
+}
+
 void onAnswered(NodeState &Node, Collection Answered) {
   if (Answered != settingsCollection(Node))
     return;
--- a/src/engine/settings_system.cpp
+++ b/src/engine/settings_system.cpp
@@ -116,7 +116,7 @@
   if (Node.Phase_ != NodePhase::Starting || !Ready)
     return;
   Node.Phase_ = NodePhase::Serving;
-  Node.Sync_.Followers_.onOtherAnswer(Node.Now_);
+  follow_system::onServing(Node);
   log(Node, EventNumber::NodeServing, {{"settings", Source}});
   // The backend server may have announced itself before the settings arrived.
   if (Node.Backend_.Announced_)
