Fuzz evidence and departures in datagrams, and read evidence of no node as none

An encoded message must decode to the same value; evidence without a node was kept when decoded and left out when encoded. Found by reading; not seen to fail.

--- a/src/membership/gossip_codec.cpp
+++ b/src/membership/gossip_codec.cpp
@@ -307,6 +307,8 @@
           readUnsigned(Fields.at(StoreEraField), Message.StoreEra_);
         if (Fields.size() > StoreEvidenceField)
           fromJson(Fields.at(StoreEvidenceField), Message.Evidence_);
+        if (Message.Evidence_.Node_.empty())
+          Message.Evidence_ = {};
       });
 }
 
--- a/tests/fuzz/decoders.cpp
+++ b/tests/fuzz/decoders.cpp
@@ -56,7 +56,12 @@
   Message.Members_ = {exampleMember()};
   Message.SettingsUpdates_ = {{"/kwan", 14}};
   Message.StoreEra_ = 2;
-  return {encode(GossipMessage()), encode(Message)};
+  GossipMessage Evidence = Message;
+  Evidence.Kind_ = GossipKind::StoreEvidence;
+  Evidence.Evidence_ = {"n", true, millis(3), "r"};
+  Evidence.Members_[0].Departures_ = {{5, "i", 9, true},
+                                      {7, "j", Departure::Final, false}};
+  return {encode(GossipMessage()), encode(Message), encode(Evidence)};
 }
 
 std::vector<std::string> syncExamples() {
