--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,105 +1,69 @@
-"""The operator lowers the idle timeout while clients read answers slowly."""
+"""A worker leaves, all processes of the system are killed at the same moment,
+and a heartbeat that the worker sent before it left arrives late."""
 
 import asyncio
+import os
 import pathlib
 import sys
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
-from standins_2 import (  # noqa: E402
-    HOST,
-    Deployment,
-    call,
-    config,
-    connect,
-    encode,
-    new_id,
-    request_headers,
-    route,
-    run_case,
-)
+from standins_2 import BOUNDS, Deployment, call, config, route, run_case  # noqa: E402
 
-CLIENTS = 6
-DEADLINE_MS = 30000
-ANSWER_BYTES = 12 << 20
-BYTES_PER_S = 800_000
-CHANGE_AFTER_S = 3
-IDLE_TIMEOUT_MS = 2000
-
-
-class SlowReader:
-    """A client on a kept connection that reads its answer slowly, all the time."""
-
-    def __init__(self, record, machine):
-        self.record = record
-        self.machine = machine
-        self.received = 0
-        self.expected = None
-        self.cut = False  # the connection ended before the end of the answer
-
-    async def run(self):
-        reader, writer = await connect(self.machine.callers, 65536)
-        # An earlier request on the same connection, which is therefore kept.
-        for path in ("/small/x", "/large/x"):
-            request = new_id()
-            fields = [("Host", HOST), *request_headers(request, DEADLINE_MS)]
-            self.record.write(f"client: sends {request} GET {path}")
-            writer.write(encode(f"GET {path} HTTP/1.1", fields))
-            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
-            self.expected = int(head.split("content-length:")[1].split("\r\n")[0])
-            self.received = 0
-            while self.received < self.expected:
-                try:
-                    data = await reader.read(min(65536, self.expected - self.received))
-                except OSError:
-                    data = b""
-                if not data:
-                    self.cut = True
-                    self.record.write(
-                        f"client: {request} -> closed after {self.received} of {self.expected}"
-                    )
-                    writer.close()
-                    return
-                self.received += len(data)
-                if path == "/large/x":
-                    await asyncio.sleep(len(data) / BYTES_PER_S)
-            self.record.write(f"client: {request} -> whole answer of {self.expected} bytes")
-        writer.close()
+REQUESTS = 60
 
 
 async def case(record, trouble):
-    deployment = Deployment(["front", "deep"], record)
-    tasks = []
+    deployment = Deployment(["front", "deep", "deep"], record)
     try:
-        routes = [
-            route("/small/", "safe", "front", DEADLINE_MS),
-            route("/large/", "safe", "deep", DEADLINE_MS),
-        ]
-        services = ["front", "deep"]
-        await deployment.start(config(routes, services))
-        entry, owner = deployment.machines
-        for path in ["/small/warm", "/large/warm"] * 10:
-            await call(record, entry, "GET", path)
-        deployment.worker_of(owner).answer_bytes = ANSWER_BYTES
-        readers = [SlowReader(record, entry) for _ in range(CLIENTS)]
-        for reader in readers:
-            tasks.append(asyncio.create_task(reader.run()))
-            await asyncio.sleep(0.2)
-        await asyncio.sleep(CHANGE_AFTER_S)
-        limits = {"idle_timeout_ms": IDLE_TIMEOUT_MS} if trouble else {}
-        await deployment.store.put("config", "main", config(routes, services, 9, limits))
-        record.say(f"operator: version 9 is acknowledged, limits {limits or 'as before'}")
-        await asyncio.gather(*tasks)
-        cut = sum(1 for reader in readers if reader.cut)
+        routes = [route("/deep/", "safe", "deep"), route("/front/", "safe", "front")]
+        await deployment.start(config(routes, ["front", "deep"]))
+        entry, _, machine = deployment.machines
+        worker = deployment.worker_of(machine)
+        for number in range(10):
+            await call(record, entry, "GET", f"/deep/before-{number}")
+        record.say(f"before it leaves, {machine.name} got {len(worker.arrivals)} of 10 requests")
+
+        late = worker.beat_body("ready")  # sent now, arrives later
+        worker.state = "leaving"
+        status = await worker.tell("DELETE")
+        acknowledged = time.monotonic()
+        record.say(f"worker {machine.name}: its DELETE is answered {status}")
+        await asyncio.sleep(0.5)
+        if trouble:
+            for each in deployment.machines:
+                each.process.kill()
+            for each in deployment.machines:
+                each.process.wait()
+            record.say("platform: all processes of the system are killed at the same moment")
+            await asyncio.sleep(0.3)
+            for each in deployment.machines:
+                deployment.start_node(each)
+        await deployment.wait_ready(deployment.machines)
+        started = time.monotonic()
+        status = await worker.tell("PUT", late)
+        record.say(
+            f"worker {machine.name}: the late heartbeat is answered {status}, "
+            f"{time.monotonic() - acknowledged:.1f} s after the DELETE"
+        )
+        # All machines are in touch again, and drain_ms has passed.
+        window = BOUNDS["stable_window_ms"] / 1000 + 0.5
+        await asyncio.sleep(max(0, started + window - time.monotonic()))
+        sent = time.monotonic()
+        results = {}
+        for number in range(REQUESTS):
+            _, result = await call(record, entry, "GET", f"/deep/after-{number}")
+            results[result] = results.get(result, 0) + 1
+        allowed = acknowledged + BOUNDS["drain_ms"] / 1000
+        late_runs = [at - acknowledged for at, _, _ in worker.arrivals if at > max(sent, allowed)]
         record.say(
-            f"{CLIENTS} answers of {ANSWER_BYTES} bytes, read at {BYTES_PER_S} bytes a second: "
-            f"{cut} cut; bytes received: {sorted(reader.received for reader in readers)}"
+            f"{REQUESTS} requests answered {results}; {len(late_runs)} reached the worker that "
+            f"left, the first {min(late_runs, default=0):.1f} s after the acknowledgement"
         )
-        return cut > 3
+        return bool(late_runs)
     finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-        deployment.stop()
+        keep = os.environ.get("KEEP_LOGS")
+        deployment.stop(keep)
 
 
 run_case(pathlib.Path(__file__).parent, case)
