--- a/include/fulmarshelf/detail/base/event_log.hpp
+++ b/include/fulmarshelf/detail/base/event_log.hpp
@@ -59,6 +59,7 @@
   BackendCrashed = 1612,
   RequestSetAside = 1613,
   RequestCleared = 1614,
+  BackendDepartureUnrecorded = 1615,
   SettingsApplied = 1701,
   SettingsIgnored = 1702,
   SettingsRejected = 1703,
--- a/include/fulmarshelf/detail/engine/actions.hpp
+++ b/include/fulmarshelf/detail/engine/actions.hpp
@@ -125,14 +125,29 @@
   Micros Wait_{0};                   ///< the watch ends without a change
 };
 
-/// @brief Write this node's peer address to the platform.
+/// @brief Write this node's record to the store. Departures that the store
+/// already keeps for this node stay in it.
 struct StoreAnnounce {
   std::optional<std::uint64_t> Era_; ///< era known at sending
+  NodeRecord Record_;
 };
 
-/// @brief Remove this node's peer address from the platform.
+/// @brief Remove this node's record from the store.
 struct StoreWithdraw {};
 
+/// @brief Remove the record of a node that has left from the store, unless it
+/// has changed.
+struct StoreRemove {
+  std::string Node_;
+  std::uint64_t Revision_ = 0; ///< revision that the record must still have
+};
+
+/// @brief Answer a notice of the backend server.
+struct AnswerNotice {
+  CallerKey Notice_;
+  bool Taken_ = true; ///< false: the server must send it again
+};
+
 /// @brief Write a log line.
 struct WriteLog {
   LogRecord Record_;
@@ -155,12 +170,13 @@
 struct StopProcess {};
 
 /// @brief All actions that the core requests from the shell.
-using Action = std::variant<AnswerCaller, OpenLink, CloseLink, PingLink,
-                            SendCall, SendCancel, SendRevoke, SendSync,
-                            AnswerCall, AnswerRevoke, AnswerSync, DispatchWork,
-                            CancelWork, ProbeBackend, SendDatagram, StoreList,
-                            StoreListNodes, StoreWatch, StoreAnnounce,
-                            StoreWithdraw, WriteLog, RecordTime, StopProcess>;
+using Action =
+    std::variant<AnswerCaller, OpenLink, CloseLink, PingLink, SendCall,
+                 SendCancel, SendRevoke, SendSync, AnswerCall, AnswerRevoke,
+                 AnswerSync, DispatchWork, CancelWork, ProbeBackend,
+                 SendDatagram, StoreList, StoreListNodes, StoreWatch,
+                 StoreAnnounce, StoreWithdraw, StoreRemove, AnswerNotice,
+                 WriteLog, RecordTime, StopProcess>;
 
 } // namespace fulmarshelf
 
--- a/include/fulmarshelf/detail/engine/inputs.hpp
+++ b/include/fulmarshelf/detail/engine/inputs.hpp
@@ -125,12 +125,14 @@
   Announcement Announcement_;
   std::optional<AnnouncementOrder> Order_; ///< none: arrival order counts
   Micros ColdFor_{0};                      ///< reported duration of its warm-up
+  CallerKey Notice_; ///< exchange to answer with AnswerNotice; 0: none
 };
 
 /// @brief The backend server reported its permanent departure.
 struct BackendDeparted {
   std::string Instance_;
   std::uint64_t ReceivedMs_ = 0; ///< time of receipt, ms since 1970
+  CallerKey Notice_; ///< exchange to answer with AnswerNotice; 0: none
 };
 
 /// @brief The backend server answered.
@@ -186,10 +188,19 @@
   CallEras Eras_;
 };
 
+/// @brief Record of a node in the store.
+struct StoredRecord {
+  std::string Node_;
+  std::uint64_t Revision_ = 0; ///< store revision of its last change
+  NodeRecord Record_;
+  friend bool operator==(const StoredRecord &, const StoredRecord &) = default;
+};
+
 /// @brief All nodes that the platform lists, for the first contact.
 struct StoreNodesListed {
   std::vector<NodeSeed> Nodes_;
   CallEras Eras_;
+  std::vector<StoredRecord> Records_; ///< those with departures
 };
 
 /// @brief Changes after the start revision of a watch.
@@ -200,9 +211,10 @@
   CallEras Eras_;
 };
 
-/// @brief This node's address has been written to the platform.
+/// @brief This node's record has been written to the store.
 struct StoreAnnounced {
   CallEras Eras_;
+  NodeRecord Record_; ///< as written, with the departures that it held before
 };
 
 /// @brief A settings object, or some entries of it, cannot be read. The
@@ -215,9 +227,16 @@
 };
 
 /// @brief Calls to the store.
-enum class StoreCall : std::uint8_t { List, Watch, Nodes, Announce, Withdraw };
+enum class StoreCall : std::uint8_t {
+  List,
+  Watch,
+  Nodes,
+  Announce,
+  Withdraw,
+  Remove,
+};
 
-/// @brief `list`, `watch`, `nodes`, `announce` or `withdraw`.
+/// @brief `list`, `watch`, `nodes`, `announce`, `withdraw` or `remove`.
 std::string_view storeCallName(StoreCall Call);
 
 /// @brief A call to the store failed; its effect is unknown.
--- a/include/fulmarshelf/detail/engine/node_state.hpp
+++ b/include/fulmarshelf/detail/engine/node_state.hpp
@@ -70,6 +70,18 @@
   TimePoint AskedAt_; ///< bootTime() of the call in progress
 };
 
+/// @brief Record in the store of a node that has left.
+struct WithdrawnRecord {
+  std::uint64_t Revision_ = 0;
+  TimePoint SeenAt_; ///< when this revision of it was first listed
+};
+
+/// @brief Notice of departure that is answered once the store keeps it.
+struct AwaitedNotice {
+  CallerKey Notice_;
+  Departure Departure_;
+};
+
 /// @brief Progress of fetching settings and addresses.
 struct SettingsSync {
   std::map<Collection, CollectionSync> Collections_;
@@ -77,7 +89,10 @@
   std::uint64_t ReportedEra_ = 0;    ///< highest era that other nodes reported
   std::uint64_t Restores_ = 0;       ///< new eras that this node has seen begin
   bool AnnouncePending_ = false;
-  bool Announced_ = false;
+  bool Announced_ = false; ///< whether the store has this node's record
+  NodeRecord Recorded_;    ///< the record, as the store has acknowledged it
+  /// Records of nodes that have left, and when this node first saw them.
+  std::map<std::string, WithdrawnRecord> Withdrawn_;
   bool NodesListPending_ = false;
   TimePoint NextStoreCallAt_; ///< next store call about addresses
   Micros StoreBackoff_{0};
@@ -157,6 +172,7 @@
   std::unordered_map<std::string, WeightedRoundRobin>
       ServiceSplits_; ///< by route
   Backend Backend_;
+  std::vector<AwaitedNotice> Notices_; ///< of this node's backend server
 
   SettingsRegistry Settings_;
   SettingsSync Sync_;
--- a/include/fulmarshelf/detail/engine/systems.hpp
+++ b/include/fulmarshelf/detail/engine/systems.hpp
@@ -140,6 +140,31 @@
 bool isServing(const NodeState &Node);
 } // namespace backend_system
 
+/// @brief Keeps the departures of this node's backend servers in the store and
+/// answers the notices of them.
+///
+/// A departure that is acknowledged binds all later processes of this node,
+/// also when no process of the mesh is left that remembers it. The store is the
+/// only place that outlives them, so a notice is answered when the store has
+/// the departure. It takes effect on this node at once.
+namespace departure_system {
+/// @brief Answers a notice of a server that leaves as soon as the store keeps
+/// its departure.
+void answer(NodeState &Node, CallerKey Notice, const std::string &Instance);
+/// @brief Handles this node's record as the store has acknowledged it.
+void onRecorded(NodeState &Node, const NodeRecord &Recorded);
+/// @brief Refuses a notice whose departure the store has not kept in time.
+void onTimeout(NodeState &Node, CallerKey Notice);
+/// @brief Learns the departures of all nodes from the store, and removes the
+/// records of nodes that left long ago.
+void onListed(NodeState &Node, const std::vector<StoredRecord> &Records);
+/// @brief Writes this node's record when the store has another one.
+void record(NodeState &Node);
+/// @brief Removes this node's record, or its addresses where departures must
+/// be kept.
+void withdraw(NodeState &Node);
+} // namespace departure_system
+
 /// @brief Detects requests that crash backend servers and reports them to the
 /// other nodes.
 namespace quarantine_system {
--- a/include/fulmarshelf/detail/engine/tables.hpp
+++ b/include/fulmarshelf/detail/engine/tables.hpp
@@ -182,6 +182,7 @@
   TokensAnswer,
   TokensRetry,
   HeldRequest,
+  NoticeAnswer,
 };
 
 /// @brief A scheduled run of a system; timers of entities that no longer exist
--- a/include/fulmarshelf/detail/membership/departure.hpp
+++ b/include/fulmarshelf/detail/membership/departure.hpp
@@ -25,6 +25,22 @@
   friend auto operator<=>(const Departure &, const Departure &) = default;
 };
 
+/// @brief What the store keeps of a node for the next process of that node, and
+/// for the other nodes.
+struct NodeRecord {
+  bool Reachable_ = true; ///< whether it holds addresses of a running process
+  std::vector<Departure> Departures_; ///< those that may be acknowledged
+  friend bool operator==(const NodeRecord &, const NodeRecord &) = default;
+};
+
+/// @brief Whether a record holds nothing that must be kept.
+bool isEmpty(const NodeRecord &Record);
+
+/// @brief Finds the departure of an instance.
+/// @return nullptr when the list has none
+const Departure *findDeparture(const std::vector<Departure> &Departures,
+                               const std::string &Instance);
+
 /// @brief Adds departures to a list. Of two for one instance the later one
 /// stays, and of all the four latest ones.
 /// @return whether the list has changed
--- a/include/fulmarshelf/detail/membership/membership.hpp
+++ b/include/fulmarshelf/detail/membership/membership.hpp
@@ -41,6 +41,15 @@
   /// this node gives of itself.
   void addDeparture(const Departure &Added);
 
+  /// @brief Adds departures that an earlier process of this node has
+  /// acknowledged.
+  void learnOwnDepartures(const std::vector<Departure> &Earlier);
+
+  /// @brief Adds the departures that the store keeps, by node. Nodes that
+  /// cannot reach the store learn theirs from the reports of this node.
+  void
+  learnDepartures(const std::map<std::string, std::vector<Departure>> &Stored);
+
   /// @brief Returns whether departures that an earlier process of this node has
   /// reported became known since the last call.
   bool takeDeparturesLearned();
@@ -156,6 +165,8 @@
   std::vector<GossipSend> Sends_;
   std::vector<Member> ChangedMembers_;
   bool DeparturesLearned_ = false;
+  /// Departures in the store of nodes that are no members yet.
+  std::map<std::string, std::vector<Departure>> StoredDepartures_;
 };
 
 } // namespace fulmarshelf
--- a/include/fulmarshelf/detail/shell/backend_notice.hpp
+++ b/include/fulmarshelf/detail/shell/backend_notice.hpp
@@ -3,6 +3,7 @@
 
 #include "fulmarshelf/detail/engine/inputs.hpp" // BackendAnnounced
 
+#include <cstdint> // uint8_t
 #include <string>  // string
 #include <variant> // variant
 
@@ -20,6 +21,13 @@
 using BackendNotice =
     std::variant<NoNotice, MalformedNotice, BackendAnnounced, BackendDeparted>;
 
+/// @brief What a node does with a notice.
+enum class NoticeResult : std::uint8_t {
+  Taken,
+  Malformed,
+  NotRecorded, ///< it takes effect, but is lost when all nodes end together
+};
+
 } // namespace fulmarshelf
 
 #endif
--- a/include/fulmarshelf/detail/shell/dialect.hpp
+++ b/include/fulmarshelf/detail/shell/dialect.hpp
@@ -23,7 +23,7 @@
   /// @brief Parses a notice from the backend server.
   BackendNotice decodeNotice(const HttpRequest &Request) const;
   /// @brief Builds the response to a notice.
-  HttpResponse encodeNoticeResponse(const BackendNotice &Notice) const;
+  HttpResponse encodeNoticeResponse(NoticeResult Result) const;
   /// @brief Path at which the node reports whether it accepts requests.
   std::string readinessPath() const { return "/ready"; }
 };
--- a/include/fulmarshelf/detail/shell/node_shell.hpp
+++ b/include/fulmarshelf/detail/shell/node_shell.hpp
@@ -57,6 +57,7 @@
   bool mayOverlap(CallerKey Earlier, const HttpRequest &Next) const;
   void onRequest(CallerKey Caller, bool FromBackend, HttpRequest Request);
   void onBackendRequest(CallerKey Caller, HttpRequest Request);
+  void answerNotice(CallerKey Caller, NoticeResult Result);
   void onOperatorRequest(CallerKey Caller, const HttpRequest &Request);
   HttpResponse releaseRequest(const std::string &Target);
   HttpResponse operatorPage(const HttpRequest &Request);
--- a/include/fulmarshelf/detail/shell/store_client.hpp
+++ b/include/fulmarshelf/detail/shell/store_client.hpp
@@ -16,7 +16,8 @@
 /// core.
 ///
 /// Each call of a member function leads to exactly one input, StoreFailed when
-/// the call failed, with one exception: a successful withdrawal leads to none.
+/// the call failed, with two exceptions: a successful withdrawal and a removal
+/// lead to none.
 /// StoreUnreadable inputs for unreadable objects precede the input of a list or
 /// watch.
 class StoreClient {
@@ -32,11 +33,16 @@
   void list(Collection Kind, Era Known);
   void watch(Collection Kind, std::uint64_t Since, Era Known, Micros Wait);
   void listNodes(Era Known);
-  /// @brief Writes this node's addresses: creates its object, or replaces an
-  /// existing one.
-  void announce(Era Known);
-  /// @brief Removes this node's object.
+  /// @brief Writes this node's record: creates its object, or replaces the
+  /// existing one, whose departures stay in it. Each write names the revision
+  /// that it replaces, so that a write that the store carries out late changes
+  /// nothing.
+  void announce(Era Known, const NodeRecord &Record);
+  /// @brief Removes this node's object, unless it holds departures that this
+  /// process has not seen: then it keeps them without addresses.
   void withdraw();
+  /// @brief Removes the object of another node if it has not changed.
+  void remove(const std::string &Node, std::uint64_t Revision);
 
   /// @brief Number of HTTP calls made so far.
   std::uint64_t calls() const { return Calls_; }
@@ -46,12 +52,15 @@
     StoreCall Call_ = StoreCall::List;
     Collection Collection_ = Collection::Teams; ///< for List and Watch only
     CallEras Eras_;
-    bool Replacing_ = false; ///< announcement that replaces an existing object
+    NodeRecord Record_;      ///< for Announce and Withdraw only
+    unsigned Conflicts_ = 0; ///< answers that showed another object
+    bool Reading_ = false;   ///< an announcement that reads the object first
     std::vector<StoreObject> Objects_; ///< objects of earlier pages of the list
     /// Revision of the first page of the list; set once it is received.
     std::optional<std::uint64_t> Revision_;
   };
 
+  static PendingCall pendingCall(StoreCall Call, Era Known);
   void send(PendingCall Pending, const HttpRequest &Request,
             std::chrono::milliseconds Timeout);
   void onDone(HttpCallId Call, const HttpResult &Result);
@@ -61,13 +70,18 @@
   std::vector<SubtreeVersion>
   readableSubtrees(const PendingCall &Pending, std::uint64_t Revision,
                    const std::vector<StoreObject> &Objects);
-  std::string localAddresses() const;
+  void writeRecord(PendingCall Pending);
+  void observeRecord(PendingCall &Pending, const HttpResponse &Response);
+  void onRecordAnswered(PendingCall Pending, const HttpResponse *Response,
+                        const std::string &Detail);
 
   NodeSettings Settings_;
   Handler OnInput_;
   HttpClient Http_;
   std::unordered_map<HttpCallId, PendingCall> PendingCalls_;
   std::uint64_t Calls_ = 0;
+  /// Revision of this node's object; nullopt: not known, or no object.
+  std::optional<std::uint64_t> RecordRevision_;
 };
 
 } // namespace fulmarshelf
--- a/include/fulmarshelf/detail/shell/store_documents.hpp
+++ b/include/fulmarshelf/detail/shell/store_documents.hpp
@@ -56,10 +56,17 @@
                          const NodeAddresses &) = default;
 };
 
-/// @brief Converts the addresses of a node to JSON and back.
-std::string encodeAddresses(const NodeAddresses &Value);
+/// @brief Converts the record of a node to JSON.
+/// @param Addresses left out of a record that is not reachable
+std::string encodeRecord(const NodeAddresses &Addresses,
+                         const NodeRecord &Record);
 /// @return false when the object does not hold two valid addresses
 bool parseAddresses(const StoreObject &Object, NodeAddresses &Result);
+/// @return the departures that can be read, in the order of mergeDepartures()
+std::vector<Departure> parseDepartures(const StoreObject &Object);
+
+/// @brief Reads the records that hold departures.
+std::vector<StoredRecord> parseRecords(const std::vector<StoreObject> &Objects);
 
 /// @brief Reads the addresses from all objects that hold valid ones.
 std::vector<NodeAddresses>
--- a/src/base/event_log.cpp
+++ b/src/base/event_log.cpp
@@ -11,7 +11,7 @@
   std::string_view Name_;
 };
 
-constexpr std::array<NamedEvent, 71> EventNames = {{
+constexpr std::array<NamedEvent, 72> EventNames = {{
     {EventNumber::RequestReceived, "request-received"},
     {EventNumber::RequestAnswered, "request-answered"},
     {EventNumber::RequestRefused, "request-refused"},
@@ -60,6 +60,7 @@
     {EventNumber::BackendCrashed, "backend-crashed"},
     {EventNumber::RequestSetAside, "request-set-aside"},
     {EventNumber::RequestCleared, "request-cleared"},
+    {EventNumber::BackendDepartureUnrecorded, "backend-departure-unrecorded"},
     {EventNumber::SettingsApplied, "settings-applied"},
     {EventNumber::SettingsIgnored, "settings-ignored"},
     {EventNumber::SettingsRejected, "settings-rejected"},
--- a/src/engine/backend_system.cpp
+++ b/src/engine/backend_system.cpp
@@ -150,7 +150,9 @@
     onConnectFailed(Node, true);
 }
 
-void announce(NodeState &Node, const BackendAnnounced &Input) {
+namespace {
+
+void applyAnnouncement(NodeState &Node, const BackendAnnounced &Input) {
   const Announcement &Received = Input.Announcement_;
   Backend &Local = Node.Backend_;
   if (isOutdated(Node, Input) || !isKnownService(Node, Received)) {
@@ -186,6 +188,20 @@
   }
 }
 
+} // namespace
+
+void announce(NodeState &Node, const BackendAnnounced &Input) {
+  applyAnnouncement(Node, Input);
+  const Announcement &Received = Input.Announcement_;
+  bool Leaves = Received.State_ == BackendState::Draining &&
+                findDeparture(Node.Membership_.self().Departures_,
+                              Received.Instance_) != nullptr;
+  if (Leaves)
+    departure_system::answer(Node, Input.Notice_, Received.Instance_);
+  else
+    emit(Node, AnswerNotice{Input.Notice_, true});
+}
+
 namespace {
 
 // Sends no new work to the current incarnation. Later announcements of it are
@@ -216,7 +232,9 @@
 
 } // namespace
 
-void depart(NodeState &Node, const BackendDeparted &Input) {
+namespace {
+
+void applyDeparture(NodeState &Node, const BackendDeparted &Input) {
   const Backend &Local = Node.Backend_;
   bool Present = Local.Announcement_.Instance_ == Input.Instance_ &&
                  (Local.Announced_ || Local.Order_);
@@ -236,6 +254,13 @@
   Node.Membership_.broadcast({});
 }
 
+} // namespace
+
+void depart(NodeState &Node, const BackendDeparted &Input) {
+  applyDeparture(Node, Input);
+  departure_system::answer(Node, Input.Notice_, Input.Instance_);
+}
+
 void onDeparturesLearned(NodeState &Node) {
   if (!Node.Membership_.takeDeparturesLearned())
     return;
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -181,6 +181,8 @@
     return quota_system::onRetry(State_, Due.Target_);
   case TimerKind::HeldRequest:
     return quota_system::onHoldTimeout(State_, RequestId{Due.Target_});
+  case TimerKind::NoticeAnswer:
+    return departure_system::onTimeout(State_, CallerKey{Due.Target_});
   case TimerKind::QuarantineSpread:
     State_.QuarantineSpread_.TimerSet_ = false;
     return quarantine_system::spread(State_);
--- a/src/engine/inputs.cpp
+++ b/src/engine/inputs.cpp
@@ -18,6 +18,8 @@
     return "announce";
   case StoreCall::Withdraw:
     return "withdraw";
+  case StoreCall::Remove:
+    return "remove";
   }
   return "list";
 }
--- a/src/engine/leave_system.cpp
+++ b/src/engine/leave_system.cpp
@@ -41,7 +41,7 @@
   Node.Membership_.setSelf(MemberStatus::Leaving, "");
   Node.Membership_.broadcast({});
   owner_system::refuseQueued(Node, ErrorCode::Leaving);
-  emit(Node, StoreWithdraw{});
+  departure_system::withdraw(Node);
   Node.LeaveStartedAt_ = Node.Now_;
   setTimer(Node, FirstCheckDelay, TimerKind::LeaveCheck);
 }
--- a/src/engine/store_era.cpp
+++ b/src/engine/store_era.cpp
@@ -33,7 +33,8 @@
   constexpr Micros DelayPerNode = millis(10);
   constexpr Micros MaxDelay = millis(10'000);
   if (Node.Phase_ == NodePhase::Leaving) {
-    emit(Node, StoreWithdraw{});
+    Node.Sync_.AnnouncePending_ = false;
+    departure_system::withdraw(Node);
     return;
   }
   Micros Longest = std::min(
@@ -61,6 +62,7 @@
   for (std::pair<const Collection, CollectionSync> &Entry : Sync.Collections_)
     restart(Node, Entry.second);
   Sync.NodesListPending_ = false;
+  Sync.Withdrawn_.clear();
   Sync.NextNodeListAt_ = Node.Now_;
   announceAgain(Node);
 }
--- a/src/engine/store_system.cpp
+++ b/src/engine/store_system.cpp
@@ -1,7 +1,7 @@
 #include "fulmarshelf/detail/engine/systems.hpp"            // store_system
 #include "fulmarshelf/detail/settings/settings_version.hpp" // versionOf
 
-#include <algorithm> // clamp, shuffle
+#include <algorithm> // clamp, max, shuffle
 
 namespace fulmarshelf::store_system {
 
@@ -68,16 +68,11 @@
 // nodes, so of two nodes that start together at least one sees the other.
 void announceAndListNodes(NodeState &Node) {
   SettingsSync &Sync = Node.Sync_;
-  if (Node.Now_ < Sync.NextStoreCallAt_)
-    return;
-  if (!Sync.Announced_ && !Sync.AnnouncePending_) {
-    Sync.AnnouncePending_ = true;
-    emit(Node, StoreAnnounce{Sync.Era_});
-  }
+  departure_system::record(Node);
   bool NeedsList =
       Sync.NodeListCount_ < EarlyNodeListCount || follow_system::follows(Node);
   if (!Sync.Announced_ || Sync.NodesListPending_ || !NeedsList ||
-      Node.Now_ < Sync.NextNodeListAt_)
+      Node.Now_ < std::max(Sync.NextNodeListAt_, Sync.NextStoreCallAt_))
     return;
   Sync.NodesListPending_ = true;
   emit(Node, StoreListNodes{Sync.Era_});
@@ -184,8 +179,8 @@
   if (!acceptAnswer(Node, StoreCall::Announce, Collection::Teams, Answered))
     return;
   Node.Sync_.AnnouncePending_ = false;
-  Node.Sync_.Announced_ = true;
   onStoreReachable(Node, Node.Sync_.StoreBackoff_);
+  departure_system::onRecorded(Node, Input.Record_);
   call(Node);
 }
 
@@ -200,6 +195,7 @@
                Node.Random_);
   ++Sync.NodeListCount_;
   quota_system::onNodesListed(Node, Input.Nodes_.size());
+  departure_system::onListed(Node, Input.Records_);
   Sync.NextNodeListAt_ = Node.Now_ + (Sync.NodeListCount_ < EarlyNodeListCount
                                           ? EarlyNodeListInterval
                                           : NodeListInterval);
--- a/src/membership/departure.cpp
+++ b/src/membership/departure.cpp
@@ -22,6 +22,19 @@
 
 } // namespace
 
+bool isEmpty(const NodeRecord &Record) {
+  return !Record.Reachable_ && Record.Departures_.empty();
+}
+
+const Departure *findDeparture(const std::vector<Departure> &Departures,
+                               const std::string &Instance) {
+  auto Found = std::find_if(Departures.begin(), Departures.end(),
+                            [&Instance](const Departure &Entry) {
+                              return Entry.Instance_ == Instance;
+                            });
+  return Found == Departures.end() ? nullptr : &*Found;
+}
+
 bool mergeDepartures(std::vector<Departure> &Into,
                      const std::vector<Departure> &Added) {
   std::vector<Departure> Merged = Into;
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -64,6 +64,27 @@
   mergeOwnDepartures({Added});
 }
 
+void Membership::learnOwnDepartures(const std::vector<Departure> &Earlier) {
+  if (mergeOwnDepartures(Earlier))
+    DeparturesLearned_ = true;
+}
+
+void Membership::learnDepartures(
+    const std::map<std::string, std::vector<Departure>> &Stored) {
+  StoredDepartures_.clear();
+  for (const std::pair<const std::string, std::vector<Departure>> &Listed :
+       Stored) {
+    auto Existing = Entries_.find(Listed.first);
+    if (Listed.first == Self_.Node_)
+      learnOwnDepartures(Listed.second);
+    else if (Existing == Entries_.end())
+      StoredDepartures_.insert(Listed);
+    else if (mergeDepartures(Existing->second.Member_.Departures_,
+                             Listed.second))
+      Existing->second.RemainingBroadcasts_ = broadcastCount();
+  }
+}
+
 bool Membership::takeDeparturesLearned() {
   return std::exchange(DeparturesLearned_, false);
 }
@@ -109,8 +130,7 @@
 // Raises this node's version to supersede a report about this node that this
 // node did not issue.
 void Membership::refute(const Member &Report) {
-  if (mergeOwnDepartures(Report.Departures_))
-    DeparturesLearned_ = true;
+  learnOwnDepartures(Report.Departures_);
   bool IsOlder = Report.Incarnation_ < Self_.Incarnation_ ||
                  (Report.Incarnation_ == Self_.Incarnation_ &&
                   Report.Version_ < Self_.Version_);
@@ -140,6 +160,11 @@
   std::vector<Departure> Known = std::move(Updated.Member_.Departures_);
   Updated.Member_ = Report;
   mergeDepartures(Updated.Member_.Departures_, Known);
+  auto Stored = StoredDepartures_.find(Report.Node_);
+  if (Stored != StoredDepartures_.end()) {
+    mergeDepartures(Updated.Member_.Departures_, Stored->second);
+    StoredDepartures_.erase(Stored);
+  }
   if (!SameStatus)
     Updated.StatusSince_ = Now;
   Updated.RemainingBroadcasts_ = broadcastCount();
--- a/src/shell/dialect.cpp
+++ b/src/shell/dialect.cpp
@@ -4,13 +4,16 @@
 #include "fulmarshelf/detail/shell/announcement_codec.hpp" // parseAnnouncement
 #include "fulmarshelf/detail/wire/native_interface.hpp" // nativeRequestMetadata
 
-#include <utility> // move
+#include <string_view> // string_view
+#include <utility>     // move
 
 namespace fulmarshelf {
 
 namespace {
 
 const std::string AnnouncePath = "/_fulmarshelf/announce";
+constexpr std::string_view AnnouncementFields =
+    "it needs service, address, slots, connections";
 
 HttpResponse textPage(std::uint16_t Status, std::string Body) {
   return {Status, {{"Content-Type", "text/plain"}}, std::move(Body)};
@@ -49,16 +52,21 @@
     return NoNotice{};
   Announcement Announced;
   if (Request.Method_ != "POST" || !parseAnnouncement(Request.Body_, Announced))
-    return MalformedNotice{"it needs service, address, slots, connections"};
+    return MalformedNotice{std::string(AnnouncementFields)};
   return BackendAnnounced{Announced, std::nullopt, Micros(0)};
 }
 
-HttpResponse
-NativeDialect::encodeNoticeResponse(const BackendNotice &Notice) const {
-  if (const MalformedNotice *Malformed = std::get_if<MalformedNotice>(&Notice))
-    return textPage(400,
-                    "announcement is malformed; " + Malformed->Detail_ + "\n");
-  return textPage(200, "announced\n");
+HttpResponse NativeDialect::encodeNoticeResponse(NoticeResult Result) const {
+  switch (Result) {
+  case NoticeResult::Taken:
+    return textPage(200, "announced\n");
+  case NoticeResult::Malformed:
+    return textPage(400, "announcement is malformed; " +
+                             std::string(AnnouncementFields) + "\n");
+  case NoticeResult::NotRecorded:
+    return textPage(503, "not recorded; send it again\n");
+  }
+  return textPage(503, "");
 }
 
 Dialect makeDialect(const NodeSettings &Settings) {
--- a/src/shell/node_shell.cpp
+++ b/src/shell/node_shell.cpp
@@ -184,9 +184,17 @@
                         Command.Wait_);
   }
   void operator()(const StoreAnnounce &Command) const {
-    Shell_.Store_.announce(Command.Era_);
+    Shell_.Store_.announce(Command.Era_, Command.Record_);
   }
   void operator()(const StoreWithdraw &) const { Shell_.Store_.withdraw(); }
+  void operator()(const StoreRemove &Command) const {
+    Shell_.Store_.remove(Command.Node_, Command.Revision_);
+  }
+  void operator()(const AnswerNotice &Command) const {
+    Shell_.answerNotice(Command.Notice_, Command.Taken_
+                                             ? NoticeResult::Taken
+                                             : NoticeResult::NotRecorded);
+  }
   void operator()(const WriteLog &Command) const {
     Shell_.Metrics_.count(Command.Record_.Event_);
     Shell_.Events_.write(Command.Record_);
@@ -492,27 +500,39 @@
     handleInput(BackendFailed{Work, std::get<HttpFailure>(Result).Reason_});
 }
 
-// Passes valid notices of the backend server to the core, and logs malformed
-// ones.
+// Passes valid notices of the backend server to the core, which answers them,
+// and refuses malformed ones.
 struct NodeShell::NoticeVisitor {
   NodeShell &Shell_;
+  CallerKey Caller_;
 
   void operator()(const NoNotice &) const {}
   void operator()(const MalformedNotice &Notice) const {
     Shell_.Events_.write(makeRecord(EventNumber::BackendNoticeMalformed,
                                     {{"detail", Notice.Detail_}}));
+    Shell_.answerNotice(Caller_, NoticeResult::Malformed);
   }
-  void operator()(const BackendAnnounced &Notice) const {
-    Shell_.handleInput(Notice);
+  void operator()(BackendAnnounced Notice) const {
+    Notice.Notice_ = Caller_;
+    Shell_.handleInput(std::move(Notice));
   }
   void operator()(const BackendDeparted &Notice) const {
     auto Now = std::chrono::duration_cast<std::chrono::milliseconds>(
         std::chrono::system_clock::now().time_since_epoch());
     Shell_.handleInput(BackendDeparted{
-        Notice.Instance_, static_cast<std::uint64_t>(Now.count())});
+        Notice.Instance_, static_cast<std::uint64_t>(Now.count()), Caller_});
   }
 };
 
+void NodeShell::answerNotice(CallerKey Caller, NoticeResult Result) {
+  BackendSide_.respond(Caller,
+                       std::visit(
+                           [Result](const auto &ActiveDialect) {
+                             return ActiveDialect.encodeNoticeResponse(Result);
+                           },
+                           Dialect_));
+}
+
 void NodeShell::onBackendRequest(CallerKey Caller, HttpRequest Request) {
   BackendNotice Notice = std::visit(
       [&Request](const auto &ActiveDialect) {
@@ -523,13 +543,7 @@
     onRequest(Caller, true, std::move(Request));
     return;
   }
-  std::visit(NoticeVisitor{*this}, Notice);
-  BackendSide_.respond(Caller,
-                       std::visit(
-                           [&Notice](const auto &ActiveDialect) {
-                             return ActiveDialect.encodeNoticeResponse(Notice);
-                           },
-                           Dialect_));
+  std::visit(NoticeVisitor{*this, Caller}, Notice);
 }
 
 HttpResponse NodeShell::readinessPage() const {
--- a/src/shell/store_client.cpp
+++ b/src/shell/store_client.cpp
@@ -16,6 +16,8 @@
 constexpr std::chrono::milliseconds CallTimeout{1500};
 // A watch whose responses get lost is detected this time after its end.
 constexpr std::chrono::milliseconds WatchSlack{750};
+// Only late writes of an earlier process compete for a node's object.
+constexpr unsigned MaxConflicts = 4;
 
 HttpLimits storeLimits() {
   HttpLimits Limits;
@@ -33,6 +35,13 @@
               onDone(Call, Result);
             }) {}
 
+StoreClient::PendingCall StoreClient::pendingCall(StoreCall Call, Era Known) {
+  PendingCall Result;
+  Result.Call_ = Call;
+  Result.Eras_.Sent_ = Known;
+  return Result;
+}
+
 void StoreClient::send(PendingCall Pending, const HttpRequest &Request,
                        std::chrono::milliseconds Timeout) {
   ++Calls_;
@@ -43,38 +52,103 @@
 }
 
 void StoreClient::list(Collection Kind, Era Known) {
-  send({StoreCall::List, Kind, {Known, {}}, false, {}, {}},
-       listRequest(objectKind(Kind), "", Freshness::Latest), CallTimeout);
+  PendingCall Pending = pendingCall(StoreCall::List, Known);
+  Pending.Collection_ = Kind;
+  send(std::move(Pending), listRequest(objectKind(Kind), "", Freshness::Latest),
+       CallTimeout);
 }
 
 void StoreClient::watch(Collection Kind, std::uint64_t Since, Era Known,
                         Micros Wait) {
   auto WaitMs = static_cast<unsigned>(
       std::chrono::duration_cast<std::chrono::milliseconds>(Wait).count());
-  send({StoreCall::Watch, Kind, {Known, {}}, false, {}, {}},
-       watchRequest(objectKind(Kind), Since, WaitMs),
+  PendingCall Pending = pendingCall(StoreCall::Watch, Known);
+  Pending.Collection_ = Kind;
+  send(std::move(Pending), watchRequest(objectKind(Kind), Since, WaitMs),
        std::chrono::milliseconds(WaitMs) + WatchSlack);
 }
 
 void StoreClient::listNodes(Era Known) {
-  send({StoreCall::Nodes, Collection::Teams, {Known, {}}, false, {}, {}},
+  send(pendingCall(StoreCall::Nodes, Known),
        listRequest(NodesKind, "", Freshness::Stale), CallTimeout);
 }
 
-std::string StoreClient::localAddresses() const {
-  return encodeAddresses(
-      {Settings_.Name_, Settings_.AdvertisedPeer_, Settings_.OperatorAddress_});
+void StoreClient::announce(Era Known, const NodeRecord &Record) {
+  PendingCall Pending = pendingCall(StoreCall::Announce, Known);
+  Pending.Record_ = Record;
+  writeRecord(std::move(Pending));
 }
 
-void StoreClient::announce(Era Known) {
-  send({StoreCall::Announce, Collection::Teams, {Known, {}}, false, {}, {}},
-       createRequest(NodesKind, Settings_.Name_, localAddresses()),
-       CallTimeout);
+// A record without content is removed. Before that, an object that this process
+// has not seen is read: it may hold departures of an earlier process.
+void StoreClient::writeRecord(PendingCall Pending) {
+  const std::string &Name = Settings_.Name_;
+  bool Removes = isEmpty(Pending.Record_);
+  Pending.Reading_ = Pending.Reading_ || (Removes && !RecordRevision_);
+  std::string Spec = encodeRecord(
+      {Name, Settings_.AdvertisedPeer_, Settings_.OperatorAddress_},
+      Pending.Record_);
+  HttpRequest Request = createRequest(NodesKind, Name, Spec);
+  if (Pending.Reading_)
+    Request = getRequest(NodesKind, Name);
+  else if (Removes)
+    Request = removeRequest(NodesKind, Name, RecordRevision_);
+  else if (RecordRevision_)
+    Request = replaceRequest(NodesKind, Name, Spec, RecordRevision_);
+  send(std::move(Pending), Request, CallTimeout);
 }
 
 void StoreClient::withdraw() {
-  send({StoreCall::Withdraw, Collection::Teams, {}, false, {}, {}},
-       removeRequest(NodesKind, Settings_.Name_, std::nullopt), CallTimeout);
+  PendingCall Pending = pendingCall(StoreCall::Withdraw, {});
+  Pending.Record_.Reachable_ = false;
+  writeRecord(std::move(Pending));
+}
+
+void StoreClient::remove(const std::string &Node, std::uint64_t Revision) {
+  send(pendingCall(StoreCall::Remove, {}),
+       removeRequest(NodesKind, Node, Revision), CallTimeout);
+}
+
+// Notes the object that an answer shows, after which the call is made again. An
+// answer that shows none is followed by a read.
+void StoreClient::observeRecord(PendingCall &Pending,
+                                const HttpResponse &Response) {
+  StoreObject Existing;
+  Pending.Reading_ =
+      Response.Status_ != 404 && !parseObject(Response.Body_, Existing);
+  RecordRevision_.reset();
+  if (Response.Status_ == 404 || Pending.Reading_)
+    return;
+  RecordRevision_ = Existing.Revision_;
+  mergeDepartures(Pending.Record_.Departures_, parseDepartures(Existing));
+}
+
+void StoreClient::onRecordAnswered(PendingCall Pending,
+                                   const HttpResponse *Response,
+                                   const std::string &Detail) {
+  unsigned Status = Response == nullptr ? 0 : Response->Status_;
+  bool Succeeded = Status / 100 == 2;
+  bool Removed = isEmpty(Pending.Record_) &&
+                 (Status == 404 || (Succeeded && !Pending.Reading_));
+  if (Removed) {
+    RecordRevision_.reset();
+    return;
+  }
+  bool Differs =
+      Status == 404 || Status == 409 || (Succeeded && Pending.Reading_);
+  if (Differs && ++Pending.Conflicts_ <= MaxConflicts) {
+    observeRecord(Pending, *Response);
+    writeRecord(std::move(Pending));
+    return;
+  }
+  RecordRevision_.reset();
+  StoreObject Written;
+  if (Succeeded && parseObject(Response->Body_, Written))
+    RecordRevision_ = Written.Revision_;
+  if (!Succeeded)
+    fail(Pending, Detail);
+  else if (Pending.Call_ == StoreCall::Announce)
+    OnInput_(StoreAnnounced{Pending.Eras_, Pending.Record_});
 }
 
 void StoreClient::onDone(HttpCallId Call, const HttpResult &Result) {
@@ -91,7 +165,6 @@
                            ? "no answer"
                            : "status " + std::to_string(Response->Status_);
   bool Succeeded = Response != nullptr && Response->Status_ / 100 == 2;
-  bool Exists = Response != nullptr && Response->Status_ == 409;
   switch (Pending.Call_) {
   case StoreCall::List:
   case StoreCall::Nodes:
@@ -104,21 +177,10 @@
       fail(Pending, "malformed answer");
     return;
   case StoreCall::Announce:
-    if (Succeeded) {
-      OnInput_(StoreAnnounced{Pending.Eras_});
-    } else if (Exists && !Pending.Replacing_) {
-      Pending.Replacing_ = true;
-      send(std::move(Pending),
-           replaceRequest(NodesKind, Settings_.Name_, localAddresses(),
-                          std::nullopt),
-           CallTimeout);
-    } else {
-      fail(Pending, Detail);
-    }
-    return;
   case StoreCall::Withdraw:
-    if (!Succeeded)
-      fail(Pending, Detail);
+    onRecordAnswered(std::move(Pending), Response, Detail);
+    return;
+  case StoreCall::Remove:
     return;
   }
 }
@@ -171,6 +233,7 @@
   }
   StoreNodesListed Listed;
   Listed.Eras_ = Pending.Eras_;
+  Listed.Records_ = parseRecords(Pending.Objects_);
   for (const NodeAddresses &Addresses : parseNodeAddresses(Pending.Objects_))
     Listed.Nodes_.push_back({Addresses.Node_, Addresses.Peer_});
   OnInput_(std::move(Listed));
--- a/src/shell/store_documents.cpp
+++ b/src/shell/store_documents.cpp
@@ -17,6 +17,32 @@
 constexpr char PathSeparator = '/';
 constexpr char NameSeparator = '~';
 
+// The number of the last announcement is left out where it is
+// Departure::Final: a store may keep numbers as doubles.
+Json encodeDeparture(const Departure &Entry) {
+  Json Result = {{"instance", Entry.Instance_},
+                 {"started", Entry.StartedMs_},
+                 {"start-known", Entry.StartKnown_}};
+  if (Entry.LastSequence_ != Departure::Final)
+    Result["sequence"] = Entry.LastSequence_;
+  return Result;
+}
+
+// An entry that another writer may have written.
+std::optional<Departure> parseDeparture(const Json &Source) {
+  try {
+    Departure Result;
+    Source.at("instance").get_to(Result.Instance_);
+    readUnsigned(Source.at("started"), Result.StartedMs_);
+    Source.at("start-known").get_to(Result.StartKnown_);
+    if (Source.contains("sequence"))
+      readUnsigned(Source["sequence"], Result.LastSequence_);
+    return Result;
+  } catch (const Json::exception &) {
+    return std::nullopt;
+  }
+}
+
 std::string teamPath(std::string Name) {
   std::replace(Name.begin(), Name.end(), NameSeparator, PathSeparator);
   return PathSeparator + Name;
@@ -72,10 +98,16 @@
   });
 }
 
-std::string encodeAddresses(const NodeAddresses &Value) {
-  return Json{{"peer", toString(Value.Peer_)},
-              {"operator", toString(Value.Operator_)}}
-      .dump();
+std::string encodeRecord(const NodeAddresses &Addresses,
+                         const NodeRecord &Record) {
+  Json Document = Json::object();
+  if (Record.Reachable_) {
+    Document["peer"] = toString(Addresses.Peer_);
+    Document["operator"] = toString(Addresses.Operator_);
+  }
+  for (const Departure &Entry : Record.Departures_)
+    Document["departures"].push_back(encodeDeparture(Entry));
+  return Document.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 bool parseAddresses(const StoreObject &Object, NodeAddresses &Result) {
@@ -89,6 +121,32 @@
   return Valid;
 }
 
+std::vector<Departure> parseDepartures(const StoreObject &Object) {
+  std::vector<Departure> Result;
+  readJson(Object.Spec_, [&Result](const Json &Source) {
+    if (!Source.is_object() || !Source.contains("departures"))
+      return;
+    for (const Json &Element : Source["departures"])
+      if (std::optional<Departure> Entry = parseDeparture(Element))
+        mergeDepartures(Result, {*Entry});
+  });
+  return Result;
+}
+
+std::vector<StoredRecord>
+parseRecords(const std::vector<StoreObject> &Objects) {
+  std::vector<StoredRecord> Result;
+  for (const StoreObject &Object : Objects) {
+    NodeAddresses Addresses;
+    std::vector<Departure> Departures = parseDepartures(Object);
+    if (!Object.Deleted_ && !Departures.empty())
+      Result.push_back({Object.Name_,
+                        Object.Revision_,
+                        {parseAddresses(Object, Addresses), Departures}});
+  }
+  return Result;
+}
+
 std::vector<NodeAddresses>
 parseNodeAddresses(const std::vector<StoreObject> &Objects) {
   std::vector<NodeAddresses> Result;
--- a/tests/failure/test_departures.py
+++ b/tests/failure/test_departures.py
@@ -51,13 +51,25 @@
         return self.tell("PUT", text)
 
     def restart_node(self, how):
-        self.worker.stop_node(how)
-        self.worker.node_process.wait(timeout=30)
-        self.worker.start_node()
-        wait_until(
-            lambda: (self.worker.status() or {}).get("phase") == "serving",
-            "the restarted node serves",
-        )
+        self.restart_nodes([self.worker], how)
+
+    def restart_all(self, how):
+        self.restart_nodes(self.mesh.workers, how)
+
+    @staticmethod
+    def restart_nodes(workers, how):
+        """Stops all these nodes before the first of them starts again."""
+        for worker in workers:
+            worker.stop_node(how)
+        for worker in workers:
+            worker.node_process.wait(timeout=30)
+        for worker in workers:
+            worker.start_node()
+        for worker in workers:
+            wait_until(
+                lambda worker=worker: (worker.status() or {}).get("phase") == "serving",
+                f"the restarted node {worker.name} serves",
+            )
 
 
 def check_gets_nothing(checker, leaving):
@@ -119,20 +131,57 @@
         check_gets_nothing(checker, leaving)
 
 
+def stop_of_all_nodes_behind_a_departure(checker, directory):
+    """No process is left that remembers the acknowledgement."""
+    for port, how in ((24200, signal.SIGKILL), (24400, signal.SIGTERM)):
+        with RouteMesh(directory, port).start() as mesh:
+            leaving = Leaving(mesh)
+            late = [leaving.text(), leaving.text()]
+            checker.require(leaving.tell("DELETE") == 200, "the departure was not taken")
+            leaving.restart_all(how)
+            for text in late:
+                leaving.beat(text)
+            check_gets_nothing(checker, leaving)
+
+
+def kill_of_all_nodes_behind_draining(checker, directory):
+    """The same for a server that only drains."""
+    with RouteMesh(directory, 24600).start() as mesh:
+        leaving = Leaving(mesh)
+        late = leaving.text()
+        checker.require(leaving.beat(leaving.text("draining")) == 200, "not taken")
+        leaving.restart_all(signal.SIGKILL)
+        leaving.beat(late)
+        check_gets_nothing(checker, leaving)
+
+
+def departure_that_cannot_be_recorded(checker, directory):
+    """Without the store the server gets no work, and no acknowledgement that a
+    kill of all nodes would break."""
+    with RouteMesh(directory, 24800).start() as mesh:
+        leaving = Leaving(mesh)
+        http("GET", mesh.platform, "/admin?down=1")
+        checker.require(leaving.tell("DELETE") == 503, "a departure that is not kept was taken")
+        check_gets_nothing(checker, leaving)
+        http("GET", mesh.platform, "/admin?down=0")
+        wait_until(lambda: leaving.tell("DELETE") == 200, "the departure is taken")
+
+
 def server_returns_under_its_id(checker, directory):
     with RouteMesh(directory, 24000).start() as mesh:
         leaving = Leaving(mesh)
-        leaving.tell("DELETE")
-        leaving.restart_node(signal.SIGKILL)
-        leaving.born = int(time.time() * 1000)
-        leaving.beat(leaving.text())
-        before = len(leaving.worker.arrivals())
+        for restart in (leaving.restart_node, leaving.restart_all):
+            leaving.tell("DELETE")
+            restart(signal.SIGKILL)
+            leaving.born = int(time.time() * 1000)
+            leaving.beat(leaving.text())
+            before = len(leaving.worker.arrivals())
 
-        def gets_requests():
-            mesh.ask(mesh.of("front")[0], "/book/1", f"next-{time.monotonic()}", "POST")
-            return len(leaving.worker.arrivals()) > before
+            def gets_requests(before=before):
+                mesh.ask(mesh.of("front")[0], "/book/1", f"next-{time.monotonic()}", "POST")
+                return len(leaving.worker.arrivals()) > before
 
-        wait_until(gets_requests, "the server gets requests again", timeout=5.0)
+            wait_until(gets_requests, "the server gets requests again", timeout=5.0)
 
 
 if __name__ == "__main__":
@@ -141,6 +190,9 @@
             departure_behind_a_restart,
             restart_behind_a_departure,
             restart_behind_draining,
+            stop_of_all_nodes_behind_a_departure,
+            kill_of_all_nodes_behind_draining,
+            departure_that_cannot_be_recorded,
             server_returns_under_its_id,
         ]
     )
--- a/tests/fuzz/decoders.cpp
+++ b/tests/fuzz/decoders.cpp
@@ -125,6 +125,7 @@
 
 void decodeObjects(const std::vector<StoreObject> &Objects) {
   parseNodeAddresses(Objects);
+  parseRecords(Objects);
   for (const StoreObject &Object : Objects) {
     std::string Fault;
     parseSubtree(Collection::Teams, Object, 2, Fault);
@@ -154,7 +155,8 @@
   Page.Objects_ = {
       {"kwan", 14, false, encodeDocument(Document)},
       {"node-1", 12, false,
-       encodeAddresses({"node-1", {"10.0.0.1", 8147}, {"10.0.0.1", 8148}})},
+       encodeRecord({"node-1", {"10.0.0.1", 8147}, {"10.0.0.1", 8148}},
+                    {true, {{5, "i-1", 9, true}}})},
       {ConfigName, 13, false, configExamples().front()}};
   return {encodeList(Page), encodeChanges(Page),
           encodeObject(Page.Objects_.front())};
--- a/tests/golden/runner.cpp
+++ b/tests/golden/runner.cpp
@@ -430,6 +430,8 @@
   }
   void operator()(const StoreAnnounce &) const {}
   void operator()(const StoreWithdraw &) const { line("store-withdraw"); }
+  void operator()(const StoreRemove &) const {}
+  void operator()(const AnswerNotice &) const {}
   void operator()(const WriteLog &Emitted) const {
     line("log " +
          std::to_string(static_cast<unsigned>(Emitted.Record_.Event_)) + " " +
--- a/tests/mutants/mutants.py
+++ b/tests/mutants/mutants.py
@@ -25,6 +25,7 @@
 
 TENANTS = "src/engine/tenant_system.cpp"
 PROOFS = "src/engine/proof_system.cpp"
+DEPARTURES = "src/engine/departure_system.cpp"
 QUOTAS = "src/engine/quota_system.cpp"
 QUOTA_SHARES = "src/engine/quota_shares.cpp"
 
@@ -129,6 +130,48 @@
         "Input.Instance_, 0, false});\n  Node.Backend_.EstimatesCountUntil_ = {};",
         "unit",
     ),
+    Mutant(
+        "departure-is-acknowledged-before-the-store-keeps-it",
+        DEPARTURES,
+        "  if (Noted == nullptr || isKept(Node, *Noted)) {\n",
+        "  record(Node);\n  if (Notice.Value_ != 0) {\n",
+        "unit",
+    ),
+    Mutant(
+        "record-holds-no-departures",
+        DEPARTURES,
+        "          Node.Membership_.self().Departures_};\n",
+        "          {}};\n",
+        "unit",
+    ),
+    Mutant(
+        "departures-in-the-store-are-not-learned",
+        DEPARTURES,
+        "  Node.Membership_.learnOwnDepartures(Recorded.Departures_);\n",
+        "",
+        "unit",
+    ),
+    Mutant(
+        "record-of-a-node-that-left-stays",
+        DEPARTURES,
+        "Node.Now_ - SeenAt >= RecordRetention",
+        "Node.Now_ < SeenAt",
+        "unit",
+    ),
+    Mutant(
+        "record-of-an-earlier-process-is-overwritten",
+        "src/shell/store_client.cpp",
+        "  mergeDepartures(Pending.Record_.Departures_, parseDepartures(Existing));\n",
+        "",
+        "unit",
+    ),
+    Mutant(
+        "departures-of-other-nodes-in-the-store-are-dropped",
+        "src/membership/membership.cpp",
+        "    mergeDepartures(Updated.Member_.Departures_, Stored->second);\n",
+        "",
+        "unit",
+    ),
     Mutant(
         "nobody-follows-the-store-for-its-watchers",
         "src/engine/follow_system.cpp",
--- a/tests/unit/engine_mesh.cpp
+++ b/tests/unit/engine_mesh.cpp
@@ -12,6 +12,7 @@
 constexpr Micros StoreDelay = millis(3);
 constexpr Micros CallTimeout = millis(1500);
 constexpr Micros WatchSlack = millis(750);
+constexpr Micros ListStaleness = millis(2500); // of lists of nodes
 constexpr Micros ConnectTimeout = millis(500);
 constexpr Micros AnnouncementInterval = millis(4000);
 constexpr Micros TestDuration = millis(120'000);
@@ -120,11 +121,35 @@
       Mesh_.Watches_.push_back({Node_, Command.Collection_, Command.Since_,
                                 Mesh_.Now_ + StoreDelay + Command.Wait_});
   }
-  void operator()(const StoreAnnounce &) const {
-    if (Mesh_.isTurnedAway(Node_))
+  void operator()(const StoreAnnounce &Command) const {
+    if (Mesh_.isTurnedAway(Node_)) {
       failLater(StoreCall::Announce, Collection::Teams, CallTimeout);
-    else
-      Mesh_.schedule(Node_, StoreDelay, StoreAnnounced{});
+      return;
+    }
+    StoredRecord &Stored = Mesh_.Records_[nameOf(Node_)];
+    NodeRecord Written = Command.Record_;
+    mergeDepartures(Written.Departures_, Stored.Record_.Departures_);
+    if (Stored.Record_ != Written)
+      Mesh_.RecordedAt_[nameOf(Node_)] = Mesh_.Now_;
+    Stored = {nameOf(Node_), ++Mesh_.RecordRevision_, Written};
+    Mesh_.schedule(Node_, StoreDelay, StoreAnnounced{{}, Written});
+  }
+  void operator()(const StoreWithdraw &) const {
+    auto Stored = Mesh_.Records_.find(nameOf(Node_));
+    if (Mesh_.isTurnedAway(Node_) || Stored == Mesh_.Records_.end())
+      return;
+    Stored->second.Record_.Reachable_ = false;
+    if (isEmpty(Stored->second.Record_))
+      Mesh_.Records_.erase(Stored);
+  }
+  void operator()(const StoreRemove &Command) const {
+    auto Stored = Mesh_.Records_.find(Command.Node_);
+    if (Stored != Mesh_.Records_.end() &&
+        Stored->second.Revision_ == Command.Revision_)
+      Mesh_.Records_.erase(Stored);
+  }
+  void operator()(const AnswerNotice &Command) const {
+    Mesh_.Notices_[Command.Notice_.Value_] = Command.Taken_;
   }
   void operator()(const StoreListNodes &) const {
     if (Mesh_.isTurnedAway(Node_)) {
@@ -134,6 +159,11 @@
     StoreNodesListed Listed;
     for (std::size_t Node = 0; Node < Mesh_.size(); ++Node)
       Listed.Nodes_.push_back({nameOf(Node), addressOf(Node)});
+    for (const std::pair<const std::string, StoredRecord> &Entry :
+         Mesh_.Records_)
+      if (!Entry.second.Record_.Departures_.empty() &&
+          Mesh_.RecordedAt_[Entry.first] + ListStaleness <= Mesh_.Now_)
+        Listed.Records_.push_back(Entry.second);
     Mesh_.schedule(Node_, StoreDelay, Listed);
   }
   void operator()(const WriteLog &Command) const {
@@ -180,11 +210,38 @@
 }
 
 void EngineMesh::restart(std::size_t Node) {
+  stop(Node);
+  Stopped_.erase(Node);
+  Engines_[Node] = std::make_unique<Engine>(configOf(Node));
+  start(Node);
+}
+
+void EngineMesh::stop(std::size_t Node) {
   ++Starts_[Node];
+  Stopped_.insert(Node);
   std::erase_if(Watches_,
                 [Node](const Watch &Entry) { return Entry.Node_ == Node; });
-  Engines_[Node] = std::make_unique<Engine>(configOf(Node));
-  start(Node);
+}
+
+void EngineMesh::restartAll() {
+  for (std::size_t Node = 0; Node < Engines_.size(); ++Node)
+    stop(Node);
+  for (std::size_t Node = 0; Node < Engines_.size(); ++Node)
+    restart(Node);
+}
+
+std::optional<bool> EngineMesh::notify(std::size_t Node, Input Notice,
+                                       Micros Patience) {
+  CallerKey Exchange{++LastCaller_};
+  if (BackendAnnounced *Announced = std::get_if<BackendAnnounced>(&Notice))
+    Announced->Notice_ = Exchange;
+  if (BackendDeparted *Departed = std::get_if<BackendDeparted>(&Notice))
+    Departed->Notice_ = Exchange;
+  handle(Node, Notice);
+  run(Patience);
+  auto Answer = Notices_.find(Exchange.Value_);
+  return Answer == Notices_.end() ? std::nullopt
+                                  : std::optional<bool>(Answer->second);
 }
 
 std::optional<std::size_t> EngineMesh::nodeAt(const Endpoint &Peer) const {
@@ -195,7 +252,8 @@
 }
 
 bool EngineMesh::canReach(std::size_t From, std::size_t To) const {
-  return Isolated_.contains(From) == Isolated_.contains(To);
+  return Isolated_.contains(From) == Isolated_.contains(To) &&
+         !Stopped_.contains(To);
 }
 
 void EngineMesh::schedule(std::size_t Node, Micros Delay, Input NewInput) {
@@ -341,6 +399,8 @@
 
 // Timers run on the clock of the node, which stops while it is suspended.
 TimePoint EngineMesh::nextTimer(std::size_t Node) const {
+  if (Stopped_.contains(Node))
+    return TimePoint::max();
   TimePoint Next = Engines_[Node]->nextTimer();
   auto Total = Suspended_.find(Node);
   if (Total == Suspended_.end() || Next == TimePoint::max())
--- a/tests/unit/engine_mesh.hpp
+++ b/tests/unit/engine_mesh.hpp
@@ -83,6 +83,24 @@
   /// @brief Ends a node without notice and starts it again.
   void restart(std::size_t Node);
 
+  /// @brief Ends a node without notice.
+  void stop(std::size_t Node);
+
+  /// @brief Ends all nodes at one moment and starts them again.
+  void restartAll();
+
+  /// @brief Sends a notice of its backend server to a node.
+  /// @return whether the node has taken it; nullopt: no answer in this time
+  std::optional<bool> notify(std::size_t Node, Input Notice,
+                             Micros Patience = millis(1000));
+
+  /// @brief The records of nodes in the store, by node. A test may return them
+  /// to an older copy.
+  std::map<std::string, StoredRecord> &records() { return Records_; }
+
+  /// @brief Records that nodes have written to the store.
+  std::uint64_t recordWrites() const { return RecordRevision_; }
+
   /// @brief Gives an input to a node.
   void handle(std::size_t Node, const Input &Event);
 
@@ -160,6 +178,11 @@
   std::set<std::size_t> TurnedAway_;
   Refusal Refusal_ = Refusal::Reset;
   std::set<std::size_t> Isolated_;
+  std::set<std::size_t> Stopped_;
+  std::map<std::string, StoredRecord> Records_; ///< in the store
+  std::map<std::string, TimePoint> RecordedAt_; ///< last change of a record
+  std::uint64_t RecordRevision_ = 0;
+  std::map<std::uint64_t, bool> Notices_; ///< whether taken, by exchange
   double LossShare_ = 0;
   std::size_t StoreCalls_ = 0;
   std::size_t DatagramBytes_ = 0;
