Keep routes of any length and content

Cause: a route table is passed on as INI text, whose reader takes 198 bytes a line. A route that could not be written was kept out of service, but left out when its host and prefix could not be written either; the next shorter prefix then took its requests. Ruled out: the selection of routes, and the way between nodes; with a short prefix the case held.

Related: reports between nodes are bounded in bytes, tenant names have up to 16 KiB, and weights, connection limits and body limits are no longer refused for their size.

--- a/include/fulmarshelf/detail/settings/ini.hpp
+++ b/include/fulmarshelf/detail/settings/ini.hpp
@@ -3,8 +3,9 @@
 
 #include "fulmarshelf/detail/base/error.hpp" // Checked
 
-#include <string> // string
-#include <vector> // vector
+#include <optional> // optional
+#include <string>   // string
+#include <vector>   // vector
 
 namespace fulmarshelf {
 
@@ -28,7 +29,7 @@
 /// for two such texts inside JSON strings.
 inline constexpr std::size_t MaxSettingsBytes = std::size_t{256} * 1024;
 
-/// @brief Splits an INI text into sections.
+/// @brief Splits an INI text into sections. Lines may have any length.
 /// @param File file name for findings
 /// @param Text complete INI text
 /// @param MaxBytes longer texts are rejected
@@ -38,6 +39,16 @@
 parseIni(const std::string &File, const std::string &Text,
          std::size_t MaxBytes = MaxSettingsBytes);
 
+/// @brief Writes a text so that it can be a value, an item of a list or part of
+/// a section's name: unchanged, or as a JSON string where a character would
+/// end it or be removed.
+std::string quoteText(const std::string &Text);
+
+/// @brief Reads what quoteText() has written.
+/// @return nullopt when the value begins with a quotation mark, but is no JSON
+/// string
+std::optional<std::string> unquoteText(const std::string &Value);
+
 /// @brief Splits a text at a separator and trims blanks from the parts.
 std::vector<std::string> splitList(const std::string &Text, char Separator);
 
--- a/include/fulmarshelf/detail/settings/key_reader.hpp
+++ b/include/fulmarshelf/detail/settings/key_reader.hpp
@@ -44,6 +44,8 @@
   std::optional<bool> renderedFlag(const std::string &Key);
   /// @brief Non-empty text.
   std::optional<std::string> text(const std::string &Key);
+  /// @brief Text as quoteText() writes it.
+  std::optional<std::string> quotedText(const std::string &Key);
   /// @brief Non-empty texts separated by commas.
   std::vector<std::string> list(const std::string &Key);
   /// @brief Adds a finding when the key is missing.
--- a/include/fulmarshelf/detail/settings/route_table.hpp
+++ b/include/fulmarshelf/detail/settings/route_table.hpp
@@ -47,6 +47,9 @@
 /// @brief Largest limit on the head of a request, in bytes.
 inline constexpr std::uint32_t MaxCallerHeadBytes = 1024 * 1024;
 
+/// @brief Largest limit on the body of a request, in bytes.
+inline constexpr std::uint64_t MaxCallerBodyBytes = std::uint64_t{1} << 40;
+
 /// @brief Size and time limits for requests from callers.
 struct CallerLimits {
   std::uint32_t HeaderBytes_ = 16 * 1024;
--- a/include/fulmarshelf/detail/settings/tenant.hpp
+++ b/include/fulmarshelf/detail/settings/tenant.hpp
@@ -30,7 +30,7 @@
 };
 
 /// @brief Greatest length of a tenant's name, in bytes.
-inline constexpr std::size_t MaxTenantNameBytes = 128;
+inline constexpr std::size_t MaxTenantNameBytes = std::size_t{16} * 1024;
 
 /// @brief Tenants of a mesh.
 struct Tenancy {
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -16,6 +16,8 @@
 constexpr unsigned DeadProbePeriods = 5;
 constexpr std::size_t IndirectProbeCount = 3;
 constexpr std::size_t MaxReportsPerMessage = 6;
+// A datagram holds less than 64 KiB, and the names in a report any number.
+constexpr std::size_t MaxReportBytesPerMessage = std::size_t{32} * 1024;
 constexpr std::size_t BroadcastFanout = 4;
 // Number of members of the local failure domain that settings updates are sent
 // to in addition to BroadcastFanout random members. Other members of the domain
@@ -35,6 +37,14 @@
                     std::string(statusName(Report.Status_)));
 }
 
+std::size_t bytesOf(const Member &Report) {
+  std::size_t Bytes = Report.Node_.size() + Report.Region_.size() +
+                      Report.FailureDomain_.size() + Report.Service_.size();
+  for (const Departure &Entry : Report.Departures_)
+    Bytes += Entry.Instance_.size();
+  return Bytes;
+}
+
 bool isAvailable(const Member &Report) {
   return Report.Status_ == MemberStatus::Alive ||
          Report.Status_ == MemberStatus::Suspect;
@@ -406,7 +416,13 @@
       Pending.end(), [](const Entry *Left, const Entry *Right) {
         return Left->RemainingBroadcasts_ > Right->RemainingBroadcasts_;
       });
+  std::size_t Bytes = 0;
+  for (const Member &Attached : Message.Members_)
+    Bytes += bytesOf(Attached);
   for (std::size_t Index = 0; Index < Count; ++Index) {
+    Bytes += bytesOf(Pending[Index]->Member_);
+    if (Bytes > MaxReportBytesPerMessage && !Message.Members_.empty())
+      return;
     --Pending[Index]->RemainingBroadcasts_;
     Message.Members_.push_back(Pending[Index]->Member_);
   }
--- a/src/settings/ini.cpp
+++ b/src/settings/ini.cpp
@@ -2,7 +2,11 @@
 
 #include <ini.h> // ini_parse_stream
 
-#include <algorithm>     // min, stable_sort
+#include <nlohmann/json.hpp> // json
+
+#include <algorithm>     // max, min, stable_sort
+#include <array>         // array
+#include <cstdio>        // snprintf
 #include <cstring>       // memcpy
 #include <unordered_set> // unordered_set
 
@@ -10,8 +14,8 @@
 
 namespace {
 
-// inih truncates longer section names without an error.
-constexpr std::size_t MaxSectionNameLength = 49;
+// inih truncates longer keys without an error.
+constexpr std::size_t MaxKeyLength = 49;
 
 struct ReadState {
   const std::string *File_ = nullptr;
@@ -37,11 +41,6 @@
   if (End == std::string::npos)
     return;
   std::string Name = Line.substr(Start + 1, End - Start - 1);
-  if (Name.size() > MaxSectionNameLength)
-    addFault(State, ErrorCode::SyntaxError,
-             "section name has " + std::to_string(Name.size()) +
-                 " characters; the limit is " +
-                 std::to_string(MaxSectionNameLength));
   if (!State.SectionNames_.insert(Name).second)
     addFault(State, ErrorCode::DuplicateSection,
              "section [" + Name +
@@ -50,8 +49,39 @@
   State.Keys_.clear();
 }
 
+std::size_t longestLine(const std::string &Text) {
+  std::size_t Longest = 0;
+  for (std::size_t Start = 0; Start < Text.size();) {
+    std::size_t End = std::min(Text.find('\n', Start), Text.size());
+    Longest = std::max(Longest, End - Start);
+    Start = End + 1;
+  }
+  return Longest;
+}
+
+// inih reads the size of its line buffer from global variables.
+void setLineBuffer(std::size_t LongestLine) {
+  constexpr std::size_t LineBreakAndEnd = 4;
+  ini_use_stack = false;
+  ini_allow_realloc = false;
+  ini_initial_alloc = ini_max_line =
+      static_cast<int>(LongestLine + LineBreakAndEnd);
+}
+
+void checkKeyLength(ReadState &State, const std::string &Line) {
+  std::size_t Length = Line.find_first_of("=:");
+  if (Line.size() <= MaxKeyLength || Line[0] == '[' || Line[0] == ';' ||
+      Line[0] == '#' || Length == std::string::npos)
+    return;
+  Length = Line.find_last_not_of(" \t", Length == 0 ? 0 : Length - 1) + 1;
+  if (Length > MaxKeyLength)
+    addFault(State, ErrorCode::SyntaxError,
+             "key has " + std::to_string(Length) +
+                 " characters; the limit is " + std::to_string(MaxKeyLength));
+}
+
 // Called by inih for each line. Records section headers, too: inih reports only
-// lines with a key, so the number of a header's line is known only here.
+// lines with a key, and truncates the names of sections.
 char *readLine(char *Buffer, int Size, void *Stream) {
   ReadState &State = *static_cast<ReadState *>(Stream);
   if (State.Position_ >= State.Text_->size())
@@ -62,12 +92,10 @@
   std::string Line =
       State.Text_->substr(State.Position_, Next - State.Position_);
   State.Position_ = Next;
-  std::size_t MaxLineBytes = static_cast<std::size_t>(Size) - 2;
-  if (Line.size() > MaxLineBytes) {
+  if (Line.size() >= static_cast<std::size_t>(Size)) {
     addFault(State, ErrorCode::SyntaxError,
              "line has " + std::to_string(Line.size()) +
-                 " bytes including its line break; the limit is " +
-                 std::to_string(MaxLineBytes));
+                 " bytes; the reader takes " + std::to_string(Size - 1));
     Line = "\n";
   }
   if (Line.find('\0') != std::string::npos) {
@@ -80,6 +108,7 @@
   std::size_t Start = Line.find_first_not_of(" \t");
   Line.erase(0, Start == std::string::npos ? Line.size() - 1 : Start);
   addSectionHeader(State, Line);
+  checkKeyLength(State, Line);
   std::memcpy(Buffer, Line.c_str(), Line.size() + 1);
   return Buffer;
 }
@@ -121,8 +150,47 @@
   }
 }
 
+// Characters that end a value, an item of a list or the name of a section.
+bool isSeparator(char Letter) {
+  return Letter == ';' || Letter == ',' || Letter == ']';
+}
+
+bool needsQuotes(char Letter) {
+  auto Code = static_cast<unsigned char>(Letter);
+  return isSeparator(Letter) || Code < 0x20 || Code == 0x7f;
+}
+
+std::string escapeOf(char Letter) {
+  std::array<char, 8> Text{};
+  std::snprintf(Text.data(), Text.size(), "\\u%04x",
+                static_cast<unsigned>(Letter));
+  return Text.data();
+}
+
 } // namespace
 
+std::string quoteText(const std::string &Text) {
+  bool Plain = !Text.empty() && Text.front() != '"' && Text.front() != ' ' &&
+               Text.back() != ' ' &&
+               std::none_of(Text.begin(), Text.end(), needsQuotes);
+  if (Plain)
+    return Text;
+  std::string Result;
+  for (char Letter : nlohmann::json(Text).dump(
+           -1, ' ', false, nlohmann::json::error_handler_t::replace))
+    Result += isSeparator(Letter) ? escapeOf(Letter) : std::string(1, Letter);
+  return Result;
+}
+
+std::optional<std::string> unquoteText(const std::string &Value) {
+  if (!Value.starts_with('"'))
+    return Value;
+  nlohmann::json Text = nlohmann::json::parse(Value, nullptr, false);
+  if (!Text.is_string())
+    return std::nullopt;
+  return Text.get<std::string>();
+}
+
 std::vector<std::string> splitList(const std::string &Text, char Separator) {
   std::vector<std::string> Parts;
   std::size_t Position = 0;
@@ -149,6 +217,7 @@
   ReadState State;
   State.File_ = &File;
   State.Text_ = &Text;
+  setLineBuffer(longestLine(Text));
   ini_parse_stream(&readLine, &State, &handleEntry, &State);
   findFaultyLines(State);
   if (State.Faults_.empty())
--- a/src/settings/key_reader.cpp
+++ b/src/settings/key_reader.cpp
@@ -126,6 +126,19 @@
   return std::nullopt;
 }
 
+std::optional<std::string> KeyReader::quotedText(const std::string &Key) {
+  std::optional<std::string> Value = text(Key);
+  if (!Value)
+    return std::nullopt;
+  std::optional<std::string> Unquoted = unquoteText(*Value);
+  if (!Unquoted)
+    addFinding(Key, ErrorCode::BadValue,
+               "'" + Key +
+                   "' begins with a quotation mark, but is no JSON "
+                   "string");
+  return Unquoted;
+}
+
 std::vector<std::string> KeyReader::list(const std::string &Key) {
   const IniEntry *Entry = find(Key);
   if (Entry == nullptr)
--- a/src/settings/route_table.cpp
+++ b/src/settings/route_table.cpp
@@ -7,6 +7,8 @@
 #include <algorithm> // any_of, min
 #include <array>     // array
 #include <charconv>  // to_chars
+#include <limits>    // numeric_limits
+#include <optional>  // optional
 #include <sstream>   // ostringstream
 
 namespace fulmarshelf {
@@ -16,14 +18,14 @@
 constexpr unsigned MaxImportance = 9;
 constexpr unsigned MaxAttempts = 100;
 constexpr std::uint64_t MaxTimeoutMs = 3'600'000; // one hour
-constexpr std::uint64_t MaxWeight = 1'000'000;
-constexpr std::uint64_t MaxConnections = 1'000'000;
-constexpr std::uint64_t MaxBodyBytes = std::uint64_t{1} << 40;
+constexpr std::uint64_t MaxWeight = std::numeric_limits<std::uint32_t>::max();
+constexpr std::uint64_t MaxConnections = MaxWeight;
 // The largest object of the store has 1 MiB. The INI text of a table is at most
-// about three times as long as the object from which the table was read: the
-// digest of a credential is longer than the credential.
-constexpr std::size_t MaxTableBytes = std::size_t{4} * 1024 * 1024;
-// Keeps the lines below the limit of the INI reader.
+// about nine times as long as the object from which the table was read: the
+// digest of a credential is longer than the credential, and a section longer
+// than a row.
+constexpr std::size_t MaxTableBytes = std::size_t{15} * 1024 * 1024;
+// Keeps the lines readable.
 constexpr std::size_t DigestsPerLine = 5;
 constexpr std::size_t DigestLength = 32; // hexadecimal digits
 
@@ -32,13 +34,15 @@
   Keys.require("services");
   for (const std::string &ShareText : Keys.list("services")) {
     std::size_t Colon = ShareText.rfind(':');
+    std::optional<std::string> Service =
+        unquoteText(ShareText.substr(0, Colon));
     std::uint64_t Weight = 1;
-    bool Valid = Colon == std::string::npos ||
-                 (parseNumber(ShareText.substr(Colon + 1), Weight) &&
-                  Weight <= MaxWeight);
+    bool Valid =
+        Service && (Colon == std::string::npos ||
+                    (parseNumber(ShareText.substr(Colon + 1), Weight) &&
+                     Weight <= MaxWeight));
     if (Valid)
-      Result.push_back(
-          {ShareText.substr(0, Colon), static_cast<std::uint32_t>(Weight)});
+      Result.push_back({*Service, static_cast<std::uint32_t>(Weight)});
     else
       Keys.addFinding(
           "services", ErrorCode::BadValue,
@@ -63,9 +67,10 @@
     Keys.require(Key);
   if (!Result.OutOfService_)
     Keys.require("timeout-ms");
-  Result.Host_ = Keys.text("host").value_or("");
-  Result.Prefix_ = Keys.text("prefix").value_or("/");
-  if (Result.Prefix_.front() != '/' || Result.Prefix_.back() != '/')
+  Result.Host_ = Keys.quotedText("host").value_or("");
+  Result.Prefix_ = Keys.quotedText("prefix").value_or("/");
+  if (Result.Prefix_.empty() || Result.Prefix_.front() != '/' ||
+      Result.Prefix_.back() != '/')
     Keys.addFinding("prefix", ErrorCode::BadValue,
                     "'prefix' must begin and end with a slash, but is '" +
                         Result.Prefix_ + "'");
@@ -111,7 +116,7 @@
 Tenant readTenant(KeyReader &Keys) {
   Tenant Result;
   Keys.require("name");
-  Result.Name_ = Keys.text("name").value_or("");
+  Result.Name_ = Keys.quotedText("name").value_or("");
   if (Result.Name_.size() > MaxTenantNameBytes)
     Keys.addFinding("name", ErrorCode::BadValue,
                     "'name' must have at most " +
@@ -134,7 +139,7 @@
 ServiceEntry readService(KeyReader &Keys, const std::string &Name) {
   ServiceEntry Result;
   Result.Name_ = Name;
-  Result.HealthPath_ = Keys.text("health-path").value_or("/health");
+  Result.HealthPath_ = Keys.quotedText("health-path").value_or("/health");
   Result.Connections_ = static_cast<std::uint32_t>(
       Keys.number("connections", 0, MaxConnections).value_or(0));
   return Result;
@@ -145,8 +150,8 @@
   Result.HeaderBytes_ = static_cast<std::uint32_t>(
       Keys.number("header-bytes", 1, MaxCallerHeadBytes)
           .value_or(Result.HeaderBytes_));
-  Result.BodyBytes_ =
-      Keys.number("body-bytes", 0, MaxBodyBytes).value_or(Result.BodyBytes_);
+  Result.BodyBytes_ = Keys.number("body-bytes", 0, MaxCallerBodyBytes)
+                          .value_or(Result.BodyBytes_);
   Result.HeaderTimeout_ = Keys.duration("header-timeout-ms", 1, MaxTimeoutMs)
                               .value_or(Result.HeaderTimeout_);
   Result.IdleTimeout_ = Keys.duration("idle-timeout-ms", 1, MaxTimeoutMs)
@@ -160,9 +165,10 @@
   constexpr std::string_view TenantPrefix = "tenant ";
   if (Name.starts_with(RoutePrefix))
     Result.Routes_.push_back(readRoute(Keys));
-  else if (Name.starts_with(ServicePrefix))
+  else if (Name.starts_with(ServicePrefix) &&
+           unquoteText(Name.substr(ServicePrefix.size())))
     Result.Services_.push_back(
-        readService(Keys, Name.substr(ServicePrefix.size())));
+        readService(Keys, *unquoteText(Name.substr(ServicePrefix.size()))));
   else if (Name.starts_with(TenantPrefix))
     Result.Tenancy_.Tenants_.push_back(readTenant(Keys));
   else if (Name == "limits")
@@ -178,7 +184,8 @@
 }
 
 void formatRoute(std::ostringstream &Out, const Route &Value) {
-  Out << "host = " << Value.Host_ << "\nprefix = " << Value.Prefix_;
+  Out << "host = " << quoteText(Value.Host_)
+      << "\nprefix = " << quoteText(Value.Prefix_);
   if (Value.OutOfService_) {
     Out << "\nout-of-service = yes\n";
     return;
@@ -186,7 +193,7 @@
   Out << "\nservices = ";
   const char *Separator = "";
   for (const ServiceShare &Share : Value.Services_) {
-    Out << Separator << Share.Service_ << ':' << Share.Weight_;
+    Out << Separator << quoteText(Share.Service_) << ':' << Share.Weight_;
     Separator = ", ";
   }
   Out << "\nidempotent = " << (Value.Idempotent_ ? "yes" : "no")
@@ -207,7 +214,7 @@
 }
 
 void formatTenant(std::ostringstream &Out, const Tenant &Value) {
-  Out << "name = " << Value.Name_ << '\n';
+  Out << "name = " << quoteText(Value.Name_) << '\n';
   if (Value.Importance_)
     Out << "importance = " << *Value.Importance_ << '\n';
   if (Value.Quota_ != Quota())
@@ -272,8 +279,8 @@
       << "\nidle-timeout-ms = " << Table.Limits_.IdleTimeout_.count() / 1000
       << '\n';
   for (const ServiceEntry &Entry : Table.Services_)
-    Out << "[service " << Entry.Name_
-        << "]\nhealth-path = " << Entry.HealthPath_
+    Out << "[service " << quoteText(Entry.Name_)
+        << "]\nhealth-path = " << quoteText(Entry.HealthPath_)
         << "\nconnections = " << Entry.Connections_ << '\n';
   std::size_t Number = 0;
   for (const Route &Value : Table.Routes_) {
--- a/tests/failure/test_route_table.py
+++ b/tests/failure/test_route_table.py
@@ -3,6 +3,7 @@
 
 import json
 import os
+import signal
 import subprocess
 import threading
 import time
@@ -158,6 +159,41 @@
         check_in_force(checker, mesh, "routes in force after the store dropped its history")
 
 
+def long_prefix_keeps_its_service(checker, directory):
+    """A route with a long prefix below another one was left out of the table, so
+    that its requests ran at the other one's service, as ones to repeat."""
+    with start(directory, 25200) as mesh:
+        for length in (211, 4000):
+            prefix = "/look/" + "x" * (length - 7) + "/"
+            routes = [
+                {"prefix": "/look/", "service": "front", "safe": True},
+                {"prefix": prefix, "service": "deep", "safe": False},
+            ]
+            version = mesh.write_routes(routes)
+            wait_until(
+                lambda version=version: mesh.routes_in_force() == [version] * 4,
+                "the table is in force",
+            )
+            # The restarted node may get the table from another node.
+            restarted = mesh.of("front")[1]
+            restarted.stop_node(signal.SIGKILL)
+            restarted.node_process.wait(timeout=30)
+            restarted.start_node()
+            wait_until(
+                lambda: (restarted.status() or {}).get("phase") == "serving",
+                "the restarted node serves",
+            )
+            for entry in mesh.workers:
+                name = f"{entry.name}-{length}"
+                answers = ask_many(mesh, entry, f"{prefix}1", name, 10, "POST")
+                check_outcomes(checker, mesh, answers, at_most_once=True)
+                served = sum(code == 200 for code, _ in answers.values())
+                checker.require(served > 0, f"{name}: no request was served")
+                for worker in mesh.of("front"):
+                    wrong = sum(id in answers for id in worker.runs())
+                    checker.require(wrong == 0, f"{name}: {wrong} ran at {worker.name}")
+
+
 def leaving_instance_gets_no_work(checker, directory):
     with start(directory, 20400) as mesh:
         entry, leaving = mesh.of("front")[0], mesh.of("deep")[0]
@@ -246,6 +282,7 @@
             lost_answers_are_not_reported_as_not_run,
             unreadable_routes_keep_the_routes_in_force,
             routes_reach_nodes_without_the_store,
+            long_prefix_keeps_its_service,
             leaving_instance_gets_no_work,
             requests_of_disconnected_callers_are_cancelled,
             stopped_log_reader,
--- a/tests/unit/membership_test.cpp
+++ b/tests/unit/membership_test.cpp
@@ -1,6 +1,7 @@
 #include "fulmarshelf/detail/membership/membership.hpp" // Membership
 
 #include <deque> // deque
+#include <set>   // set
 
 #include <CppUTest/TestHarness.h> // TEST
 
@@ -78,6 +79,29 @@
 
 TEST_GROUP(Membership){};
 
+// The names of services have no limit of their own. A datagram that cannot be
+// sent is dropped, with the reports of all others in it.
+TEST(Membership, ReportsWithLongNamesFitIntoDatagrams) {
+  std::mt19937_64 Random;
+  Membership Members(member(0), Random);
+  std::vector<Member> Others;
+  for (int Index = 1; Index <= 12; ++Index) {
+    Others.push_back(member(Index));
+    Others.back().Service_ = std::string(16'000, 's');
+  }
+  Members.learn(TimePoint(), Others);
+  std::set<std::string> Reported;
+  for (int Step = 1; Step <= 600; ++Step) {
+    Members.tick(TimePoint() + millis(250) * Step);
+    for (const GossipSend &Send : Members.takeSends()) {
+      CHECK(encode(Send.Message_).size() < 65'000);
+      for (const Member &Report : Send.Message_.Members_)
+        Reported.insert(Report.Node_);
+    }
+  }
+  CHECK_EQUAL(13U, Reported.size());
+}
+
 TEST(Membership, EveryNodeLearnsOfEveryMember) {
   TestMesh Mesh(12);
   Mesh.run(StepsPerSecond * 15);
--- a/tests/unit/odd_entries_test.cpp
+++ b/tests/unit/odd_entries_test.cpp
@@ -128,6 +128,23 @@
     }
 }
 
+TEST(OddEntries, LongPrefixKeepsItsRoute) {
+  for (std::size_t Length : {127, 128, 198, 199, 211, 256, 1000, 16'000}) {
+    std::string Prefix = "/sound/" + std::string(Length - 8, 'x') + "/";
+    std::string Spec = configWith("priority", "1");
+    Spec.replace(Spec.find("/odd/"), 5, Prefix);
+    std::variant<ReadableConfig, UnreadableConfig> Parsed = parseConfig(Spec);
+    const ReadableConfig &Readable = std::get<ReadableConfig>(Parsed);
+    CHECK(Readable.Faults_.empty());
+    RouteTable Table =
+        parseRouteTable("routes", Readable.Version_.Text_).value();
+    const Route *Found = findRoute(Table, "h", Prefix + "1");
+    CHECK(Found != nullptr);
+    CHECK(Found->Prefix_ == Prefix);
+    CHECK_FALSE(Found->OutOfService_);
+  }
+}
+
 TEST(OddEntries, NumberThatIsTooLargeTakesItsRouteOutOfService) {
   for (const char *Value : {"1e30", "18446744073709551616", "1e999", "-1"}) {
     std::variant<ReadableConfig, UnreadableConfig> Parsed =
--- a/tests/unit/route_table_test.cpp
+++ b/tests/unit/route_table_test.cpp
@@ -49,6 +49,39 @@
   CHECK(Read.value() == exampleTable());
 }
 
+// A line of over 198 bytes, a section's name of over 49 and what the reader
+// takes for a comment made a route or a service unreadable.
+TEST(RouteTables, TextsOfAnyLengthAndContentRoundTrip) {
+  std::vector<std::string> Texts = {
+      "",    " a ", "a ;b", "#a",           "a=b:c", "a]b[", "\"a\"",
+      "a,b", "%41", "a\\b", "\u00fc\u20ac", "{{a}}", "\t",   "null"};
+  for (std::size_t Length :
+       {41, 42, 49, 50, 127, 128, 198, 199, 255, 256, 1000, 16'000, 300'000})
+    Texts.push_back(std::string(Length, 'x'));
+  Texts.push_back(std::string(300, ';'));
+  for (const std::string &Text : Texts) {
+    RouteTable Table = exampleTable();
+    Table.Services_.push_back({Text, "/" + Text, 7});
+    Table.Routes_.push_back({Text, "/" + Text + "/", {{Text, 3}, {"shop", 1}}});
+    Table.Routes_.back().Timeout_ = Table.Routes_.back().LatencyTarget_ =
+        millis(700);
+    Table.Routes_.push_back(Table.Routes_.front());
+    Checked<RouteTable> Read =
+        parseRouteTable("routes", formatRouteTable(Table));
+    CHECK_TEXT(Read.has_value(), Text.substr(0, 60).c_str());
+    CHECK_TEXT(Read.value() == Table, Text.substr(0, 60).c_str());
+  }
+}
+
+TEST(RouteTables, MalformedQuotesAreFaults) {
+  Checked<RouteTable> Read = parseRouteTable(
+      "routes", "[service s]\n[route 1]\nhost = \"h\nprefix = /\nservices = "
+                "s:1\ntimeout-ms = 5\n[route 2]\nhost = h\nprefix = \"7\n"
+                "services = \"s:1\ntimeout-ms = 5\n[service \"a]\n");
+  CHECK_FALSE(Read.has_value());
+  CHECK(Read.error().size() >= 4);
+}
+
 TEST(RouteTables, LongestPrefixOfTheHostMatches) {
   RouteTable Table = exampleTable();
   CHECK(findRoute(Table, "a.example", "/x/1") == &Table.Routes_[1]);
