Test departures by a response, and thousands of long routes

A departure that a response announces is written to the store after the response is passed on; the new case of group Departures ends all nodes 0.3 s later. ThousandsOfLongRoutesComeIntoForce passes 3,000 routes with prefixes of 330 characters to another node.

--- a/tests/unit/departures_test.cpp
+++ b/tests/unit/departures_test.cpp
@@ -132,6 +132,24 @@
   }
 }
 
+// A response is passed on without waiting for the store.
+TEST(Departures, DepartureByAResponseOutlivesAllProcesses) {
+  Mesh_.handle(Node, heartbeat("i-1", 4000, 6));
+  Mesh_.ask(Node, "");
+  Mesh_.run(Micros(1));
+  CHECK_EQUAL(1U, Mesh_.state(Node).Works_.size());
+  BackendAnswered Answer{Mesh_.state(Node).Works_.begin()->first,
+                         {200, {}, {}}};
+  Answer.Metadata_.Leaving_ = true;
+  Mesh_.handle(Node, Answer);
+  CHECK_FALSE(isServing());
+  Mesh_.run(millis(300));
+  Mesh_.restartAll();
+  Mesh_.handle(Node, heartbeat("i-1", 4000, 7));
+  Mesh_.run(StableWindow);
+  CHECK(getsNoWork());
+}
+
 TEST(Departures, DepartureOfAnUnknownServerOutlivesAllProcesses) {
   CHECK(Mesh_.notify(Node, BackendDeparted{"i-1", 5000}) == true);
   Mesh_.restartAll();
--- a/tests/unit/route_table_test.cpp
+++ b/tests/unit/route_table_test.cpp
@@ -1,3 +1,4 @@
+#include "fulmarshelf/detail/membership/gossip_message.hpp" // SyncReply
 #include "fulmarshelf/detail/routing/weighted_round_robin.hpp" // WeightedRoundRobin
 #include "fulmarshelf/detail/settings/registry.hpp" // SettingsRegistry
 
@@ -73,6 +74,25 @@
   }
 }
 
+// As much as an object of the store holds, passed on to another node.
+TEST(RouteTables, ThousandsOfLongRoutesComeIntoForce) {
+  RouteTable Table = exampleTable();
+  for (unsigned Number = 0; Number < 3000; ++Number) {
+    Table.Routes_.push_back(Table.Routes_.front());
+    Table.Routes_.back().Prefix_ =
+        "/" + std::to_string(Number) + std::string(330, 'x') + "/";
+  }
+  RouteTable Next = Table;
+  Next.Routes_.back().Prefix_ += "y/";
+  SettingsRegistry Registry;
+  SyncReply Passed;
+  CHECK(decode(encode(SyncReply{true, {}, {versionOf(1, Table)}, {}}), Passed));
+  CHECK(Registry.apply(Passed.Subtrees_.front()) == ApplyResult::Applied);
+  CHECK(*Registry.routes() == Table);
+  CHECK(Registry.apply(versionOf(2, Next)) == ApplyResult::Applied);
+  CHECK(*Registry.routes() == Next);
+}
+
 TEST(RouteTables, MalformedQuotesAreFaults) {
   Checked<RouteTable> Read = parseRouteTable(
       "routes", "[service s]\n[route 1]\nhost = \"h\nprefix = /\nservices = "
