Tests of departures and routes: ports below the ephemeral range

With an offset of 10000, ports of 24200 and above are in the range that the kernel gives to outgoing connections: one mesh of test_departures found its port taken.

--- a/tests/failure/test_departures.py
+++ b/tests/failure/test_departures.py
@@ -133,7 +133,7 @@
 
 def stop_of_all_nodes_behind_a_departure(checker, directory):
     """No process is left that remembers the acknowledgement."""
-    for port, how in ((24200, signal.SIGKILL), (24400, signal.SIGTERM)):
+    for port, how in ((10000, signal.SIGKILL), (10200, signal.SIGTERM)):
         with RouteMesh(directory, port).start() as mesh:
             leaving = Leaving(mesh)
             late = [leaving.text(), leaving.text()]
@@ -146,7 +146,7 @@
 
 def kill_of_all_nodes_behind_draining(checker, directory):
     """The same for a server that only drains."""
-    with RouteMesh(directory, 24600).start() as mesh:
+    with RouteMesh(directory, 10400).start() as mesh:
         leaving = Leaving(mesh)
         late = leaving.text()
         checker.require(leaving.beat(leaving.text("draining")) == 200, "not taken")
@@ -158,7 +158,7 @@
 def departure_that_cannot_be_recorded(checker, directory):
     """Without the store the server gets no work, and no acknowledgement that a
     kill of all nodes would break."""
-    with RouteMesh(directory, 24800).start() as mesh:
+    with RouteMesh(directory, 10600).start() as mesh:
         leaving = Leaving(mesh)
         http("GET", mesh.platform, "/admin?down=1")
         checker.require(leaving.tell("DELETE") == 503, "a departure that is not kept was taken")
--- a/tests/failure/test_route_table.py
+++ b/tests/failure/test_route_table.py
@@ -162,7 +162,7 @@
 def long_prefix_keeps_its_service(checker, directory):
     """A route with a long prefix below another one was left out of the table, so
     that its requests ran at the other one's service, as ones to repeat."""
-    with start(directory, 25200) as mesh:
+    with start(directory, 10800) as mesh:
         for length in (211, 4000):
             prefix = "/look/" + "x" * (length - 7) + "/"
             routes = [
